Thin whole path: callers, entries, sides and stand-ins as separate processes

Cause: nothing existed; the users ask first for one request served end to end by separate processes. Ruled out: entry to target with no side process, because one place per target has to admit work and remember what ran; a ticket minted again inside a call after a refusal, because the caller may send the old one. Change: pure core (configuration fold, ticket ledger, admission, routing, crash ledger), CBOR frames over Ktor links, platform clients, the two binaries, stand-ins, and a driver that starts a site. Before: none.

--- /dev/null
+++ b/benchmark/src/main/kotlin/Main.kt
@@ -0,0 +1,6 @@
+package io.jaybeam.benchmark
+
+/** Runs benchmarks. */
+public fun main() {
+    println("none")
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
@@ -0,0 +1,235 @@
+/*
+ * Wires an entry instance together and stops it gracefully.
+ */
+package io.jaybeam.entry
+
+import io.jaybeam.core.config.EffectiveConfig
+import io.jaybeam.core.quarantine.CrashLedger
+import io.jaybeam.core.routing.Router
+import io.jaybeam.core.ticket.TargetIncarnation
+import io.jaybeam.entry.calls.Call
+import io.jaybeam.entry.calls.CallResult
+import io.jaybeam.entry.calls.CallerResponse
+import io.jaybeam.entry.calls.CallerServer
+import io.jaybeam.entry.calls.OrganisationLimitFilter
+import io.jaybeam.entry.calls.ProblemOutcome
+import io.jaybeam.entry.calls.TicketOwnerFilter
+import io.jaybeam.entry.calls.filterChain
+import io.jaybeam.entry.forward.Forwarder
+import io.jaybeam.entry.forward.KeyBindingController
+import io.jaybeam.entry.forward.TicketMint
+import io.jaybeam.entry.targets.ChannelListener
+import io.jaybeam.entry.targets.TargetChannel
+import io.jaybeam.entry.targets.TargetDirectory
+import io.jaybeam.platform.config.ConfigController
+import io.jaybeam.platform.config.ConfigExchange
+import io.jaybeam.platform.instances.InstanceListClient
+import io.jaybeam.platform.log.LogClient
+import io.jaybeam.platform.observe.AdminServer
+import io.jaybeam.platform.observe.EventLog
+import io.jaybeam.platform.observe.LogEvent
+import io.jaybeam.platform.observe.LogField
+import io.jaybeam.platform.observe.metricsRegistry
+import io.jaybeam.wire.Frame
+import io.jaybeam.wire.Link
+import io.jaybeam.wire.LinkRuntime
+import io.jaybeam.wire.PROTOCOL_VERSION
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Timer
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import java.util.UUID
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.random.Random
+import kotlin.time.Clock
+
+private const val HEARTBEAT_MILLIS = 250L
+private const val CRASH_RETENTION_MILLIS = 600_000L
+private const val CRASH_CAPACITY = 10_000
+private const val NANOS_PER_MILLI = 1_000_000L
+
+/** One running entry instance. */
+internal class EntryProcess(
+    private val settings: EntrySettings,
+    clock: Clock,
+) : ChannelListener {
+    private val common = settings.common
+    private val events = EventLog(common.instance, clock)
+    private val identity = TargetIncarnation(common.instance, UUID.randomUUID().toString())
+    private val runtime = LinkRuntime()
+    private val registry = metricsRegistry()
+    private val crashes = CrashLedger(CRASH_RETENTION_MILLIS, CRASH_CAPACITY)
+    private val config =
+        ConfigController(LogClient(common.platform.logUrl), common.verifier(), events, settings.snapshotIntervalMillis)
+    private val exchange = ConfigExchange(config)
+    private val directory =
+        TargetDirectory(
+            owner = common.instance,
+            targetsPerService = settings.targetsPerService,
+            list = InstanceListClient(common.platform.instanceListUrl),
+            runtime = runtime,
+            listener = this,
+            events = events,
+            hello = ::hello,
+        )
+    private val router = Router(Random.Default)
+    private val mint = TicketMint(directory, router, clock, ::effective)
+    private val bindings = KeyBindingController(LogClient(common.platform.logUrl), mint, settings.keyWindowMillis, clock, events)
+    private val forwarder =
+        Forwarder(directory, router, mint, crashes, settings.reattachMillis, ::effective, ::monotonicMillis, bindings::bind)
+    private val filters = listOf(OrganisationLimitFilter(), TicketOwnerFilter)
+    private val latency = Timer.builder("jaybeam.entry.call").register(registry)
+    private lateinit var admin: AdminServer
+    private lateinit var callers: CallerServer
+
+    @Volatile
+    private var stopping = false
+
+    /** Starts every duty. */
+    fun start() {
+        events.write(LogEvent.PROCESS_STARTED, LogField("incarnation", identity.incarnation))
+        config.start()
+        bindings.start()
+        directory.start()
+        thread(name = "heartbeat", isDaemon = true) { beat() }
+        callers =
+            CallerServer(
+                host = common.host,
+                port = settings.callerPort,
+                threads = settings.callerThreads,
+                defaultDeadlineMillis = settings.defaultDeadlineMillis,
+                bundle = { effective().bundle },
+                mint = mint,
+                handle = ::handle,
+                onResult = ::record,
+            )
+        registerMetrics()
+        admin = AdminServer(common.host, common.adminPort, registry, ::ready, ::dump)
+        events.write(LogEvent.PROCESS_READY, LogField("callerPort", "${callers.port}"))
+    }
+
+    /** Reports itself not ready, lets every call finish and stops. */
+    fun stop() {
+        events.write(LogEvent.PROCESS_STOPPING)
+        stopping = true
+        callers.drain(settings.drainGraceMillis)
+        directory.close()
+        bindings.close()
+        config.close()
+        runtime.close()
+        events.write(LogEvent.PROCESS_STOPPED)
+    }
+
+    override fun onControlFrame(link: Link, frame: Frame) {
+        when (frame) {
+            is Frame.Hello -> opened(link, frame)
+            is Frame.Heartbeat -> exchange.onPeerVersion(link, frame.configVersion)
+            is Frame.ConfigRequest -> exchange.onRequest(link, frame)
+            is Frame.ConfigChanges -> exchange.onChanges(frame)
+            is Frame.Crash -> crashed(frame)
+            else -> link.close("an entry does not take frames of kind ${frame::class.simpleName}")
+        }
+    }
+
+    override fun onReplaced(identity: TargetIncarnation, fingerprints: List<String>) {
+        if (fingerprints.isNotEmpty()) crashed(Frame.Crash("side/${identity.incarnation}", fingerprints))
+    }
+
+    override fun onLinkClosed(instance: String, reason: String) {
+        events.write(LogEvent.LINK_CLOSED, LogField("peer", instance), LogField("reason", reason))
+    }
+
+    private fun handle(call: Call, response: CallerResponse): CallResult = filterChain(filters) { forwarder.forward(it, response) }(call)
+
+    private fun opened(link: Link, hello: Frame.Hello) {
+        if (hello.protocolVersion != PROTOCOL_VERSION) {
+            link.close("protocol version ${hello.protocolVersion} is not $PROTOCOL_VERSION; run the same release on both ends")
+            return
+        }
+        events.write(LogEvent.LINK_OPENED, LogField("peer", hello.identity.instance), LogField("incarnation", hello.identity.incarnation))
+        exchange.onPeerVersion(link, hello.configVersion)
+    }
+
+    private fun crashed(frame: Frame.Crash) {
+        if (!crashes.onCrash(frame.crashId, frame.fingerprints, monotonicMillis())) return
+        events.write(LogEvent.TARGET_CRASHED, LogField("crash", frame.crashId), LogField("inFlight", "${frame.fingerprints.size}"))
+        directory.broadcast(frame)
+    }
+
+    private fun beat() {
+        while (true) {
+            directory.broadcast(Frame.Heartbeat(config.version()))
+            Thread.sleep(HEARTBEAT_MILLIS)
+        }
+    }
+
+    private fun hello() = Frame.Hello(PROTOCOL_VERSION, identity, common.dataCentre, null, config.version())
+
+    private fun effective(): EffectiveConfig = config.stateOrNull()?.effective() ?: EffectiveConfig()
+
+    private fun ready() = !stopping && effective().bundle != null
+
+    private fun record(result: CallResult, nanos: Long) {
+        latency.record(nanos, TimeUnit.NANOSECONDS)
+        counterOf(result).increment()
+    }
+
+    private fun counterOf(result: CallResult): Counter {
+        val outcome =
+            when (result) {
+                is CallResult.Relayed -> "relayed"
+                is CallResult.CutOff -> "cut_off"
+                is CallResult.CallerGone -> "caller_gone"
+                is CallResult.Refusal -> if (result.problem.outcome == ProblemOutcome.NOT_RUN) "not_run" else "unknown"
+            }
+        return Counter.builder("jaybeam.entry.calls").tag("outcome", outcome).register(registry)
+    }
+
+    private fun registerMetrics() {
+        Gauge.builder("jaybeam.entry.calls.in.flight") { callers.callsInFlight }.register(registry)
+        Gauge.builder("jaybeam.entry.keys.bound") { bindings.size }.register(registry)
+        Gauge.builder("jaybeam.entry.links.up") { directory.all().count { it.isUp } }.register(registry)
+        Gauge.builder("jaybeam.config.version") { config.version() }.register(registry)
+    }
+
+    private fun dump(): JsonObject {
+        val config = effective()
+        return JsonObject(
+            mapOf(
+                "instance" to JsonPrimitive(common.instance),
+                "dataCentre" to JsonPrimitive(common.dataCentre),
+                "ready" to JsonPrimitive(ready()),
+                "configVersion" to JsonPrimitive(this.config.version()),
+                "bundle" to JsonPrimitive(config.bundle?.name),
+                "dataCentresOut" to JsonArray(config.dataCentresOut.sorted().map(::JsonPrimitive)),
+                "instancesOut" to JsonArray(config.instancesOut.sorted().map(::JsonPrimitive)),
+                "callsInFlight" to JsonPrimitive(callers.callsInFlight),
+                "keysBound" to JsonPrimitive(bindings.size),
+                "crashSuspects" to JsonPrimitive(crashes.size()),
+                "targets" to JsonArray(directory.all().map(::dump)),
+            ),
+        )
+    }
+
+    private fun dump(channel: TargetChannel): JsonObject {
+        val view = channel.viewOrNull()
+        return JsonObject(
+            mapOf(
+                "instance" to JsonPrimitive(channel.listed.instance),
+                "service" to JsonPrimitive(channel.listed.service),
+                "dataCentre" to JsonPrimitive(channel.listed.dataCentre),
+                "phase" to JsonPrimitive(channel.listed.phase.name),
+                "linked" to JsonPrimitive(channel.isUp),
+                "takesWork" to JsonPrimitive(view != null),
+                "incarnation" to JsonPrimitive(view?.identity?.incarnation),
+                "inFlight" to JsonPrimitive(view?.reportedInFlight),
+                "limit" to JsonPrimitive(view?.limit),
+            ),
+        )
+    }
+}
+
+internal fun monotonicMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntrySettings.kt
@@ -0,0 +1,44 @@
+/*
+ * Settings of an entry instance. docs/SETTINGS.md is the reference.
+ */
+package io.jaybeam.entry
+
+import io.jaybeam.core.json.JsonShape
+import io.jaybeam.platform.settings.CommonSettings
+import io.jaybeam.platform.settings.MAX_PORT
+import io.jaybeam.platform.settings.commonSettings
+
+/** Everything that an entry instance is told. */
+internal data class EntrySettings(
+    val common: CommonSettings,
+    val callerPort: Int,
+    val snapshotIntervalMillis: Long,
+    val keyWindowMillis: Long,
+    val defaultDeadlineMillis: Long,
+    val reattachMillis: Long,
+    val drainGraceMillis: Long,
+    val targetsPerService: Int,
+    val callerThreads: Int,
+)
+
+private const val DAY_MILLIS = 86_400_000L
+private const val DEFAULT_SNAPSHOT_MILLIS = 600_000L
+private const val DEFAULT_KEY_WINDOW_MILLIS = 600_000L
+private const val DEFAULT_DEADLINE_MILLIS = 120_000L
+private const val DEFAULT_REATTACH_MILLIS = 3_000L
+private const val DEFAULT_DRAIN_GRACE_MILLIS = 1_000L
+private const val DEFAULT_TARGETS_PER_SERVICE = 64
+private const val DEFAULT_CALLER_THREADS = 512
+
+internal fun JsonShape.entrySettings(): EntrySettings =
+    EntrySettings(
+        common = commonSettings(),
+        callerPort = int("callerPort", 0..MAX_PORT),
+        snapshotIntervalMillis = long("snapshotIntervalMillis", 1..DAY_MILLIS, DEFAULT_SNAPSHOT_MILLIS),
+        keyWindowMillis = long("keyWindowMillis", 1..DAY_MILLIS, DEFAULT_KEY_WINDOW_MILLIS),
+        defaultDeadlineMillis = long("defaultDeadlineMillis", 1..DAY_MILLIS, DEFAULT_DEADLINE_MILLIS),
+        reattachMillis = long("reattachMillis", 0..DAY_MILLIS, DEFAULT_REATTACH_MILLIS),
+        drainGraceMillis = long("drainGraceMillis", 0..DAY_MILLIS, DEFAULT_DRAIN_GRACE_MILLIS),
+        targetsPerService = int("targetsPerService", 1..100_000, DEFAULT_TARGETS_PER_SERVICE),
+        callerThreads = int("callerThreads", 16..16_384, DEFAULT_CALLER_THREADS),
+    )
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/Main.kt
@@ -0,0 +1,73 @@
+/*
+ * The `jaybeam` binary: `jaybeam entry` and the operators' subcommands.
+ */
+package io.jaybeam.entry
+
+import io.jaybeam.entry.operator.BundleCommand
+import io.jaybeam.entry.operator.ConfigCommand
+import io.jaybeam.entry.operator.DataCentreCommand
+import io.jaybeam.entry.operator.DumpCommand
+import io.jaybeam.entry.operator.ExitCodes
+import io.jaybeam.entry.operator.InstanceCommand
+import io.jaybeam.entry.operator.KeysCommand
+import io.jaybeam.platform.settings.Termination
+import io.jaybeam.platform.settings.readSettings
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+import kotlin.time.Clock
+
+/** `jaybeam` */
+@Command(
+    name = "jaybeam",
+    mixinStandardHelpOptions = true,
+    version = ["jaybeam 0.1.0"],
+    description = ["Load balancer for expert-parallel model groups."],
+    subcommands = [
+        EntryCommand::class,
+        KeysCommand::class,
+        BundleCommand::class,
+        DataCentreCommand::class,
+        InstanceCommand::class,
+        ConfigCommand::class,
+        DumpCommand::class,
+    ],
+)
+internal class JaybeamCommand
+
+/** `jaybeam entry` */
+@Command(name = "entry", description = ["Runs an entry instance."])
+internal class EntryCommand : Callable<Int> {
+    @Option(names = ["--settings"], required = true, description = ["JSON settings file; see docs/SETTINGS.md"])
+    private lateinit var settingsPath: Path
+
+    @Option(names = ["--check"], description = ["Check the settings and exit"])
+    private var checkOnly: Boolean = false
+
+    override fun call(): Int =
+        readSettings(settingsPath) { entrySettings() }.fold(
+            { faults ->
+                faults.forEach { System.err.println("jaybeam: settings: $it") }
+                ExitCodes.BAD_INPUT
+            },
+            { settings -> if (checkOnly) ExitCodes.DONE else serve(settings) },
+        )
+
+    private fun serve(settings: EntrySettings): Int {
+        val termination = Termination().also { it.install() }
+        val process = EntryProcess(settings, Clock.System)
+        process.start()
+        termination.onShutdown(process::stop)
+        CountDownLatch(1).await()
+        return ExitCodes.DONE
+    }
+}
+
+/** Starts an entry instance or runs an operators' subcommand. */
+public fun main(args: Array<String>) {
+    exitProcess(CommandLine(JaybeamCommand()).setCaseInsensitiveEnumValuesAllowed(true).execute(*args))
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
@@ -0,0 +1,222 @@
+/*
+ * One target as an entry reaches it: the link to its side process, its latest load report and the attempts
+ * under way on it.
+ */
+package io.jaybeam.entry.targets
+
+import io.jaybeam.core.routing.TargetView
+import io.jaybeam.core.ticket.TargetIncarnation
+import io.jaybeam.platform.instances.ListedInstance
+import io.jaybeam.wire.Frame
+import io.jaybeam.wire.Link
+import io.jaybeam.wire.LinkHandler
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** What an attempt hears. */
+internal sealed class AttemptEvent {
+    /** A frame of this attempt arrived. */
+    data class Arrived(
+        val frame: Frame,
+    ) : AttemptEvent()
+
+    /** The link closed. */
+    data class LinkLost(
+        val reason: String,
+    ) : AttemptEvent()
+}
+
+private const val ATTEMPT_QUEUE = 512
+
+/** One try of a request on one target. */
+internal class Attempt(
+    val requestId: String,
+    val attemptId: Long,
+    val fingerprint: String,
+    private val link: Link,
+) {
+    private val events = ArrayBlockingQueue<AttemptEvent>(ATTEMPT_QUEUE)
+
+    /** Waits up to [timeoutMillis] for the next event. */
+    fun next(timeoutMillis: Long): AttemptEvent? = events.poll(timeoutMillis, TimeUnit.MILLISECONDS)
+
+    fun offer(event: AttemptEvent) {
+        events.offer(event)
+    }
+
+    fun isOn(link: Link) = this.link === link
+
+    fun acknowledge(chunkCount: Int) {
+        link.send(Frame.Ack(requestId, attemptId, chunkCount))
+    }
+
+    fun cancel() {
+        link.send(Frame.Cancel(requestId, attemptId))
+    }
+}
+
+/** Whether a given incarnation can be reached. */
+internal enum class Reach {
+    UP,
+
+    /** The instance now runs another incarnation. */
+    REPLACED,
+
+    /** There is no link. */
+    DOWN,
+}
+
+/** Receives what a channel learns beyond its attempts. */
+internal interface ChannelListener {
+    fun onControlFrame(link: Link, frame: Frame)
+
+    /** The side at [identity] was replaced with these requests in flight. */
+    fun onReplaced(identity: TargetIncarnation, fingerprints: List<String>)
+
+    fun onLinkClosed(instance: String, reason: String)
+}
+
+/** The channel to the side process listed as [listed]. Thread-safe. */
+internal class TargetChannel(
+    @Volatile var listed: ListedInstance,
+    private val listener: ChannelListener,
+) : LinkHandler {
+    private val lock = ReentrantLock()
+    private val changed = lock.newCondition()
+    private val attempts = ConcurrentHashMap<Long, Attempt>()
+    private val sentSinceReport = AtomicInteger()
+    private val lostFingerprints = ConcurrentHashMap.newKeySet<String>()
+
+    @Volatile
+    private var link: Link? = null
+
+    @Volatile
+    private var identity: TargetIncarnation? = null
+
+    @Volatile
+    private var load = Frame.Load(0, 0, 1, leaving = true)
+
+    @Volatile
+    private var loadAtNanos = System.nanoTime()
+
+    @Volatile
+    var connecting = false
+
+    /** Whether a link is open and its side has introduced itself. */
+    val isUp: Boolean get() = link?.isOpen == true && identity != null
+
+    /** Attempts under way. */
+    val attemptCount: Int get() = attempts.size
+
+    /** Returns what routing knows of this target, or null while it cannot take work. */
+    fun viewOrNull(): TargetView? {
+        val now = identity ?: return null
+        if (!isUp || load.leaving) return null
+        return TargetView(
+            identity = now,
+            service = listed.service.orEmpty(),
+            dataCentre = listed.dataCentre,
+            limit = load.limit,
+            reportedInFlight = load.inFlight + load.queued,
+            sentSinceReport = sentSinceReport.get(),
+            reportAgeMillis = (System.nanoTime() - loadAtNanos) / 1_000_000,
+        )
+    }
+
+    /** Sends [execute] to [expected]; returns null if that incarnation is not reached now. */
+    fun open(expected: TargetIncarnation, execute: Frame.Execute): Attempt? {
+        val current = link?.takeIf { it.isOpen && identity == expected } ?: return null
+        val attempt = Attempt(execute.requestId, execute.attemptId, execute.fingerprint, current)
+        attempts[execute.attemptId] = attempt
+        sentSinceReport.incrementAndGet()
+        if (current.send(execute)) return attempt
+        attempts.remove(execute.attemptId)
+        return null
+    }
+
+    /** Forgets [attempt]; its late frames are dropped. */
+    fun close(attempt: Attempt) {
+        attempts.remove(attempt.attemptId)
+    }
+
+    /** Waits up to [timeoutMillis] until [expected] is reached or known to be replaced. */
+    fun await(expected: TargetIncarnation, timeoutMillis: Long): Reach =
+        lock.withLock {
+            val deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis)
+            while (true) {
+                val current = identity
+                if (current != null && current != expected) return Reach.REPLACED
+                if (isUp) return Reach.UP
+                val leftNanos = deadlineNanos - System.nanoTime()
+                if (leftNanos <= 0) return Reach.DOWN
+                changed.awaitNanos(leftNanos)
+            }
+            @Suppress("UNREACHABLE_CODE")
+            Reach.DOWN
+        }
+
+    /** Takes a new link; its side has not introduced itself yet. */
+    fun connected(link: Link) {
+        this.link = link
+        connecting = false
+    }
+
+    /** Sends [frame] if a link is open. */
+    fun send(frame: Frame) {
+        link?.takeIf { isUp }?.send(frame)
+    }
+
+    /** Closes the link. */
+    fun disconnect(reason: String) {
+        link?.close(reason)
+    }
+
+    override fun onFrame(link: Link, frame: Frame) {
+        when (frame) {
+            is Frame.Hello -> introduced(link, frame)
+            is Frame.Load -> loaded(frame)
+            is Frame.Head -> deliver(frame.attemptId, frame)
+            is Frame.Chunk -> deliver(frame.attemptId, frame)
+            is Frame.End -> deliver(frame.attemptId, frame)
+            is Frame.Refused -> deliver(frame.attemptId, frame)
+            is Frame.Undecided -> deliver(frame.attemptId, frame)
+            is Frame.Broken -> deliver(frame.attemptId, frame)
+            else -> listener.onControlFrame(link, frame)
+        }
+    }
+
+    override fun onClosed(link: Link, reason: String) {
+        if (this.link !== link) return
+        this.link = null
+        attempts.values.filter { it.isOn(link) }.forEach {
+            lostFingerprints += it.fingerprint
+            it.offer(AttemptEvent.LinkLost(reason))
+        }
+        listener.onLinkClosed(listed.instance, reason)
+    }
+
+    private fun introduced(link: Link, hello: Frame.Hello) {
+        val before = identity
+        lock.withLock {
+            identity = hello.identity
+            changed.signalAll()
+        }
+        if (before != null && before != hello.identity) listener.onReplaced(before, lostFingerprints.toList())
+        lostFingerprints.clear()
+        listener.onControlFrame(link, hello)
+    }
+
+    private fun loaded(report: Frame.Load) {
+        load = report
+        loadAtNanos = System.nanoTime()
+        sentSinceReport.set(0)
+    }
+
+    private fun deliver(attemptId: Long, frame: Frame) {
+        attempts[attemptId]?.offer(AttemptEvent.Arrived(frame))
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetDirectory.kt
@@ -0,0 +1,131 @@
+/*
+ * Which targets an entry knows: follows the instance list, holds a link to a bounded subset of targets for
+ * each service, and opens lost links again.
+ */
+package io.jaybeam.entry.targets
+
+import io.jaybeam.core.config.EffectiveConfig
+import io.jaybeam.core.routing.TargetView
+import io.jaybeam.core.routing.subsetFor
+import io.jaybeam.core.ticket.TargetIncarnation
+import io.jaybeam.platform.instances.InstanceList
+import io.jaybeam.platform.instances.InstanceListClient
+import io.jaybeam.platform.instances.InstancePhase
+import io.jaybeam.platform.instances.InstanceRole
+import io.jaybeam.platform.instances.ListedInstance
+import io.jaybeam.platform.observe.EventLog
+import io.jaybeam.platform.observe.LogEvent
+import io.jaybeam.platform.observe.LogField
+import io.jaybeam.wire.Frame
+import io.jaybeam.wire.Link
+import io.jaybeam.wire.LinkRuntime
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.concurrent.thread
+
+private const val REFRESH_MILLIS = 250L
+
+/** Keeps the channels of one entry. */
+internal class TargetDirectory(
+    private val owner: String,
+    private val targetsPerService: Int,
+    private val list: InstanceListClient,
+    private val runtime: LinkRuntime,
+    private val listener: ChannelListener,
+    private val events: EventLog,
+    private val hello: () -> Frame.Hello,
+) : AutoCloseable {
+    private val channels = ConcurrentHashMap<String, TargetChannel>()
+
+    @Volatile
+    private var running = true
+
+    @Volatile
+    private var listReachable = true
+
+    /** Starts to follow the list. */
+    fun start() {
+        thread(name = "directory", isDaemon = true) {
+            while (running) {
+                runCatching(::refresh).onFailure {
+                    events.write(LogEvent.UNEXPECTED_FAILURE, LogField("duty", "directory"), LogField("detail", it.toString()))
+                }
+                Thread.sleep(REFRESH_MILLIS)
+            }
+        }
+    }
+
+    /** Returns the targets of [service] that may be given new work. */
+    fun candidates(service: String, config: EffectiveConfig): List<TargetView> =
+        channels.values
+            .filter { it.listed.service == service && it.listed.phase == InstancePhase.LIVE }
+            .filter { config.inService(it.listed.dataCentre, it.listed.instance) }
+            .mapNotNull { it.viewOrNull() }
+
+    /** Returns the channel to the instance of [identity], or null if it is not listed here. */
+    fun channelOf(identity: TargetIncarnation): TargetChannel? = channels[identity.instance]
+
+    /** All channels, for the dump. */
+    fun all(): List<TargetChannel> = channels.values.sortedBy { it.listed.instance }
+
+    /** Sends [frame] on every open link. */
+    fun broadcast(frame: Frame) {
+        channels.values.forEach { it.send(frame) }
+    }
+
+    override fun close() {
+        running = false
+        channels.values.forEach { it.disconnect("the entry stops") }
+    }
+
+    private fun refresh() {
+        list.read().fold(
+            { message ->
+                if (listReachable) events.write(LogEvent.INSTANCE_LIST_UNREACHABLE, LogField("detail", message))
+                listReachable = false
+            },
+            { read ->
+                listReachable = true
+                follow(read)
+            },
+        )
+        channels.values.filter { !it.isUp && !it.connecting }.forEach(::connect)
+    }
+
+    private fun follow(read: InstanceList) {
+        val wanted = wanted(read)
+        wanted.forEach { listed ->
+            val channel = channels.getOrPut(listed.instance) { TargetChannel(listed, listener) }
+            if (channel.listed.host != listed.host || channel.listed.port != listed.port) channel.disconnect("the instance moved")
+            channel.listed = listed
+        }
+        val names = wanted.map { it.instance }.toSet()
+        channels.values.filter { it.listed.instance !in names && it.attemptCount == 0 && !it.isUp }.forEach {
+            channels.remove(
+                it.listed.instance,
+            )
+        }
+    }
+
+    private fun wanted(read: InstanceList): List<ListedInstance> =
+        read.instances
+            .filter { it.role == InstanceRole.SIDE }
+            .groupBy { it.service }
+            .flatMap { (_, listed) ->
+                val names = subsetFor(owner, listed.map { it.instance }, targetsPerService).toSet()
+                listed.filter { it.instance in names }
+            }
+
+    private fun connect(channel: TargetChannel) {
+        channel.connecting = true
+        runtime.connect(
+            host = channel.listed.host,
+            port = channel.listed.port,
+            handler = channel,
+            onConnected = { link: Link ->
+                channel.connected(link)
+                link.send(hello())
+            },
+            onFailed = { channel.connecting = false },
+        )
+    }
+}
--- /dev/null
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetPlan.kt
@@ -0,0 +1,54 @@
+/*
+ * What a fleet of one site consists of.
+ */
+package io.jaybeam.scenarios
+
+/** Name of the model service of a fleet. */
+public const val MODEL_SERVICE: String = "counter-chat"
+
+/** Name of the plain service of a fleet. */
+public const val PLAIN_SERVICE: String = "booking"
+
+/**
+ * How many processes a fleet has, spread over its data centres in turn.
+ *
+ * @property engineProfile JSON members of the engines' profile.
+ */
+public data class FleetPlan(
+    val dataCentres: List<String> = listOf("pdx", "sea", "boi"),
+    val entries: Int = 3,
+    val modelTargets: Int = 12,
+    val plainTargets: Int = 3,
+    val engineProfile: String = "{}",
+    val fullConcurrency: Int = 12,
+    val initialConcurrency: Int = 2,
+    val rampMillis: Long = 4_000,
+    val snapshotIntervalMillis: Long = 600_000,
+    val patientMaxWaitMillis: Long = 20_000,
+    val maxInFlightPerOrganisation: Int = 256,
+)
+
+/** Returns the JSON text of the plan's bundle. */
+public fun FleetPlan.bundleText(name: String = "first"): String =
+    """
+    {
+      "formatVersion": 1,
+      "name": "$name",
+      "priceTiers": [
+        {"name": "counter", "class": "URGENT", "maxWaitMillis": 5000, "priceMicrosPerToken": 12},
+        {"name": "overnight", "class": "PATIENT", "maxWaitMillis": $patientMaxWaitMillis, "priceMicrosPerToken": 3}
+      ],
+      "services": [
+        {"name": "$MODEL_SERVICE", "kind": "MODEL"},
+        {"name": "$PLAIN_SERVICE", "kind": "PLAIN"}
+      ],
+      "dataCentres": [${dataCentres.joinToString { "\"$it\"" }}],
+      "freshTargetLimits": {
+        "initialConcurrency": $initialConcurrency,
+        "fullConcurrency": $fullConcurrency,
+        "rampMillis": $rampMillis
+      },
+      "expertPlacement": {"slotsPerRank": 3, "maxBytesPerMove": 8000000000, "minGainPercent": 5, "horizonSteps": 100000},
+      "requestLimits": {"maxBodyBytes": 1048576, "retryPercent": 20, "maxInFlightPerOrganisation": $maxInFlightPerOrganisation}
+    }
+    """.trimIndent()
--- /dev/null
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Main.kt
@@ -0,0 +1,26 @@
+/*
+ * Runs the demonstration from the command line.
+ */
+package io.jaybeam.scenarios
+
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import java.util.concurrent.Callable
+import kotlin.system.exitProcess
+
+@Command(name = "demo", mixinStandardHelpOptions = true, description = ["Starts a whole site on loopback, uses it and stops it."])
+internal class DemoCommand : Callable<Int> {
+    @Option(names = ["--models"], description = ["Model targets"])
+    private var models: Int = 12
+
+    @Option(names = ["--entries"], description = ["Entries"])
+    private var entries: Int = 3
+
+    override fun call(): Int = demonstrate(FleetPlan(entries = entries, modelTargets = models))
+}
+
+/** Runs the demonstration. */
+public fun main(args: Array<String>) {
+    exitProcess(CommandLine(DemoCommand()).execute(*args))
+}
--- /dev/null
+++ b/side/src/main/kotlin/io/jaybeam/side/SideSettings.kt
@@ -0,0 +1,58 @@
+/*
+ * Settings of a side process. docs/SETTINGS.md is the reference.
+ */
+package io.jaybeam.side
+
+import io.jaybeam.core.config.ServiceKind
+import io.jaybeam.core.json.JsonShape
+import io.jaybeam.platform.settings.CommonSettings
+import io.jaybeam.platform.settings.MAX_PORT
+import io.jaybeam.platform.settings.commonSettings
+import io.jaybeam.platform.settings.url
+
+/** The target beside which a side process runs. */
+internal data class TargetSettings(
+    val url: String,
+    val service: String,
+    val kind: ServiceKind,
+    val orderFencing: Boolean,
+)
+
+/** Everything that a side process is told. */
+internal data class SideSettings(
+    val common: CommonSettings,
+    val linkPort: Int,
+    val target: TargetSettings,
+    val ticketWindowMillis: Long,
+    val ledgerCapacity: Int,
+    val queueCapacity: Int,
+    val retainedAnswerBytes: Long,
+)
+
+private const val DEFAULT_TICKET_WINDOW_MILLIS = 600_000L
+private const val DEFAULT_LEDGER_CAPACITY = 50_000
+private const val DEFAULT_QUEUE_CAPACITY = 256
+private const val DEFAULT_RETAINED_BYTES = 33_554_432L
+
+internal fun JsonShape.sideSettings(): SideSettings =
+    SideSettings(
+        common = commonSettings(),
+        linkPort = int("linkPort", 0..MAX_PORT),
+        target = child("target") { targetSettings() } ?: TargetSettings("", "", ServiceKind.PLAIN, false),
+        ticketWindowMillis = long("ticketWindowMillis", 1_000L..86_400_000L, DEFAULT_TICKET_WINDOW_MILLIS),
+        ledgerCapacity = int("ledgerCapacity", 1..10_000_000, DEFAULT_LEDGER_CAPACITY),
+        queueCapacity = int("queueCapacity", 1..100_000, DEFAULT_QUEUE_CAPACITY),
+        retainedAnswerBytes = long("retainedAnswerBytes", 0L..1_073_741_824L, DEFAULT_RETAINED_BYTES),
+    )
+
+private fun JsonShape.targetSettings(): TargetSettings {
+    val kind = string("kind")
+    val known = ServiceKind.entries.firstOrNull { it.name == kind }
+    if (known == null && kind.isNotEmpty()) fault("kind", "is \"$kind\"", "write MODEL or PLAIN")
+    return TargetSettings(
+        url = url("url"),
+        service = string("service"),
+        kind = known ?: ServiceKind.PLAIN,
+        orderFencing = boolean("orderFencing", false),
+    )
+}
--- /dev/null
+++ b/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
@@ -0,0 +1,452 @@
+/*
+ * Decides what runs on the target. One thread owns the ledger, the admission limit and the queue, so that each
+ * decision is made against all that came before it.
+ */
+package io.jaybeam.side
+
+import io.jaybeam.core.admission.QueueVerdict
+import io.jaybeam.core.admission.TargetAdmission
+import io.jaybeam.core.admission.TierQueue
+import io.jaybeam.core.admission.Waiting
+import io.jaybeam.core.config.ConfigState
+import io.jaybeam.core.config.FreshTargetLimits
+import io.jaybeam.core.config.PriceTier
+import io.jaybeam.core.config.TierClass
+import io.jaybeam.core.ticket.LedgerVerdict
+import io.jaybeam.core.ticket.RefusalReason
+import io.jaybeam.core.ticket.RequestLedger
+import io.jaybeam.core.ticket.TargetIncarnation
+import io.jaybeam.platform.DutyThread
+import io.jaybeam.platform.observe.EventLog
+import io.jaybeam.platform.observe.LogEvent
+import io.jaybeam.platform.observe.LogField
+import io.jaybeam.wire.Frame
+import io.jaybeam.wire.Link
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.Executors
+import kotlin.time.Clock
+
+/** What the work thread is told. */
+internal sealed class WorkMessage {
+    data class Arrive(
+        val link: Link,
+        val execute: Frame.Execute,
+    ) : WorkMessage()
+
+    data class Cancel(
+        val cancel: Frame.Cancel,
+    ) : WorkMessage()
+
+    data class Ack(
+        val ack: Frame.Ack,
+    ) : WorkMessage()
+
+    data class LinkClosed(
+        val link: Link,
+    ) : WorkMessage()
+
+    data class Step(
+        val stepMillis: Double,
+    ) : WorkMessage()
+
+    data class Finished(
+        val request: ServedRequest,
+        val end: CallEnd,
+        val targetDown: Boolean,
+    ) : WorkMessage()
+
+    data class Health(
+        val health: TargetHealth?,
+    ) : WorkMessage()
+
+    data class Configured(
+        val state: ConfigState,
+    ) : WorkMessage()
+
+    data object Leave : WorkMessage()
+}
+
+/** A moment's figures, for the dump and for load reports. */
+internal data class WorkSnapshot(
+    val inFlight: Int = 0,
+    val queued: Int = 0,
+    val limit: Int = 0,
+    val tickets: Int = 0,
+    val kept: Int = 0,
+    val leaving: Boolean = false,
+    val inService: Boolean = false,
+    val targetUp: Boolean = false,
+)
+
+private const val RING_CAPACITY = 16_384
+private const val TICK_MILLIS = 10L
+private const val MAX_SKEW_MILLIS = 5_000L
+private const val KEEP_ANSWER_MILLIS = 5_000L
+private const val DETACHED_MILLIS = 5_000L
+private const val RETRY_AFTER_MILLIS = 1_000L
+
+/** Admits, queues, runs and remembers requests. */
+internal class WorkController(
+    private val settings: SideSettings,
+    private val self: TargetIncarnation,
+    private val target: TargetClient,
+    private val clock: Clock,
+    private val events: EventLog,
+    private val broadcast: (Frame) -> Unit,
+) : AutoCloseable {
+    private val duty = DutyThread<WorkMessage>("work", RING_CAPACITY, TICK_MILLIS, events, ::handle, ::tick)
+    private val runners: ExecutorService = Executors.newCachedThreadPool { Thread(it, "target-call").apply { isDaemon = true } }
+    private val ledger = RequestLedger(self, settings.ticketWindowMillis, MAX_SKEW_MILLIS, settings.ledgerCapacity)
+    private val admission = TargetAdmission(FreshTargetLimits(1, 1, 0), monotonicMillis())
+    private val queue = TierQueue<ServedRequest>(settings.queueCapacity)
+    private val requests = LinkedHashMap<String, ServedRequest>()
+    private val byRequestId = HashMap<String, ServedRequest>()
+    private val live = LinkedHashSet<ServedRequest>()
+    private val retired = LinkedHashSet<ServedRequest>()
+    private var queuedSuspects = 0
+    private var heldBytes = 0L
+    private var config: ConfigState? = null
+    private var leaving = false
+    private var targetIncarnation: String? = null
+    private var targetWarm = true
+    private var crashCount = 0
+    private var suspectRunning = false
+
+    /** The latest figures. */
+    @Volatile
+    var snapshot = WorkSnapshot()
+        private set
+
+    /** Whether no request is queued, running or partly delivered. */
+    @Volatile
+    var idle = true
+        private set
+
+    fun start() = duty.start()
+
+    fun tell(message: WorkMessage) = duty.put(message)
+
+    override fun close() {
+        duty.close()
+        runners.shutdownNow()
+    }
+
+    private fun handle(message: WorkMessage) {
+        when (message) {
+            is WorkMessage.Arrive -> arrive(message.link, message.execute)
+            is WorkMessage.Cancel -> cancel(message.cancel)
+            is WorkMessage.Ack ->
+                find(
+                    message.ack.requestId,
+                )?.answer?.acknowledge(message.ack.requestId, message.ack.attemptId, message.ack.chunkCount)
+            is WorkMessage.LinkClosed -> detach(message.link)
+            is WorkMessage.Step -> admission.onStep(message.stepMillis, monotonicMillis())
+            is WorkMessage.Finished -> finish(message)
+            is WorkMessage.Health -> health(message.health)
+            is WorkMessage.Configured -> configure(message.state)
+            is WorkMessage.Leave -> leave()
+        }
+        startQueued()
+        publish()
+    }
+
+    private fun arrive(link: Link, execute: Frame.Execute) {
+        val ticket = execute.ticket
+        val key = ticket?.id ?: execute.requestId
+        if (ticket != null) {
+            when (val verdict = ledger.offer(ticket, execute.fingerprint, clock.now().toEpochMilliseconds())) {
+                is LedgerVerdict.First -> Unit
+                is LedgerVerdict.AlreadyHere -> return attach(link, execute, key)
+                is LedgerVerdict.RefusedForGood -> return refuse(link, execute, verdict.reason)
+                is LedgerVerdict.Undecided -> return send(link, Frame.Undecided(execute.requestId, execute.attemptId, verdict.problem))
+            }
+        } else if (key in requests) {
+            return attach(link, execute, key)
+        }
+        if (execute.attachOnly &&
+            ticket == null
+        ) {
+            return send(link, Frame.Broken(execute.requestId, execute.attemptId, "the request is not held here"))
+        }
+        val reason = refusalReason()
+        if (reason != null) {
+            if (ticket != null) ledger.refuse(ticket, execute.fingerprint, reason)
+            return refuse(link, execute, reason)
+        }
+        admit(link, execute, key)
+    }
+
+    private fun refusalReason(): RefusalReason? {
+        val state = config
+        return when {
+            leaving -> RefusalReason.LEAVING
+            state == null -> RefusalReason.NOT_READY
+            !state.effective().inService(settings.common.dataCentre, self.instance) -> RefusalReason.OUT_OF_SERVICE
+            targetIncarnation == null -> RefusalReason.TARGET_DOWN
+            else -> null
+        }
+    }
+
+    private fun admit(link: Link, execute: Frame.Execute, key: String) {
+        val request = ServedRequest(key, execute, monotonicMillis())
+        execute.ticket?.let { ledger.accept(it, execute.fingerprint) }
+        requests[key] = request
+        attach(link, execute, key)
+        if (execute.suspect) queuedSuspects += 1
+        when (val verdict = queue.offer(Waiting(request, execute.organisation, tierOf(execute), request.arrivedAtMillis))) {
+            is QueueVerdict.Queued -> Unit
+            is QueueVerdict.QueuedInsteadOf -> withdraw(verdict.shed.value, RefusalReason.OVER_LIMIT)
+            is QueueVerdict.Full -> withdraw(request, RefusalReason.OVER_LIMIT)
+        }
+    }
+
+    private fun tierOf(execute: Frame.Execute): PriceTier {
+        val tier = config?.effective()?.bundle?.tierOrNull(execute.tier)
+        return tier ?: PriceTier("default", TierClass.URGENT, execute.deadlineMillis, 0)
+    }
+
+    private fun attach(link: Link, execute: Frame.Execute, key: String) {
+        val request = requests[key]
+        if (request == null) {
+            send(link, Frame.Broken(execute.requestId, execute.attemptId, "the request ran and its answer is no longer held"))
+            return
+        }
+        byRequestId[execute.requestId] = request
+        request.requestIds += execute.requestId
+        live += request
+        request.detachedAtMillis = null
+        request.answer.subscribe(link, execute.requestId, execute.attemptId, execute.fromChunk)
+    }
+
+    private fun startQueued() {
+        while (queue.size > 0 && !suspectRunning) {
+            val now = monotonicMillis()
+            if (!mayStartOrdinary()) return startSuspect(now)
+            if (!admission.tryStart(now)) return
+            val next = queue.poll(now) ?: return admission.finish()
+            run(next.value)
+        }
+    }
+
+    /** A suspect waits for the target to become empty, so nothing else starts while one waits. */
+    private fun mayStartOrdinary() = queuedSuspects == 0
+
+    private fun startSuspect(now: Long) {
+        if (!admission.tryStart(now, exclusive = true)) return
+        val suspect = queue.remove { it.execute.suspect }
+        if (suspect == null) admission.finish() else run(suspect.value)
+    }
+
+    private fun run(request: ServedRequest) {
+        request.stage = Stage.RUNNING
+        if (request.execute.suspect) queuedSuspects -= 1
+        suspectRunning = request.execute.suspect
+        val call = target.prepare(request.execute)
+        request.call = call
+        runners.execute { runCall(request, call) }
+    }
+
+    /** Runs on a thread of its own for as long as the target answers. */
+    private fun runCall(request: ServedRequest, call: TargetCall) {
+        var lastNanos = 0L
+        val end =
+            try {
+                call.run(
+                    onHead = request.answer::head,
+                    onBytes = { bytes ->
+                        val now = System.nanoTime()
+                        if (lastNanos != 0L) duty.offer(WorkMessage.Step((now - lastNanos) / NANOS_PER_MILLI))
+                        request.answer.append(bytes)
+                        lastNanos = System.nanoTime()
+                    },
+                )
+            } catch (e: Exception) {
+                CallEnd.Lost(e.toString())
+            }
+        val down = end !is CallEnd.Whole && target.healthOrNull()?.incarnation != targetIncarnation
+        duty.put(WorkMessage.Finished(request, end, down))
+    }
+
+    private fun finish(message: WorkMessage.Finished) {
+        val request = message.request
+        admission.finish()
+        if (request.execute.suspect) suspectRunning = false
+        if (message.targetDown && targetIncarnation != null) crash(request)
+        request.stage = Stage.OVER
+        request.overAtMillis = monotonicMillis()
+        when (val end = message.end) {
+            is CallEnd.Whole -> request.answer.finish(AnswerState.Whole(0))
+            is CallEnd.Lost -> request.answer.finish(AnswerState.Broken("the target's answer was lost: ${end.detail}"))
+            is CallEnd.NotSent -> withdraw(request, RefusalReason.TARGET_DOWN)
+        }
+    }
+
+    private fun crash(first: ServedRequest) {
+        crashCount += 1
+        targetIncarnation = null
+        val running = live.filter { it.stage == Stage.RUNNING || it === first }
+        val fingerprints = running.map { it.execute.fingerprint }.distinct()
+        events.write(LogEvent.TARGET_CRASHED, LogField("crash", "$crashCount"), LogField("inFlight", "${fingerprints.size}"))
+        broadcast(Frame.Crash("${self.incarnation}/$crashCount", fingerprints))
+        admission.onCold(monotonicMillis())
+    }
+
+    private fun withdraw(request: ServedRequest, reason: RefusalReason) {
+        request.execute.ticket?.let { ledger.withdraw(it, reason) }
+        request.answer.refuse(reason, RETRY_AFTER_MILLIS)
+        forget(request)
+    }
+
+    private fun cancel(cancel: Frame.Cancel) {
+        val request = find(cancel.requestId) ?: return
+        request.answer.unsubscribe(cancel.requestId, cancel.attemptId)
+        if (request.execute.ticket != null || request.answer.hasSubscribers) return
+        giveUp(request)
+    }
+
+    private fun giveUp(request: ServedRequest) {
+        when (request.stage) {
+            Stage.QUEUED -> {
+                queue.remove { it === request }
+                forget(request)
+            }
+
+            Stage.RUNNING -> {
+                request.call?.cancel()
+            }
+
+            Stage.OVER -> {
+                forget(request)
+            }
+        }
+    }
+
+    private fun detach(link: Link) {
+        val now = monotonicMillis()
+        live.forEach { request ->
+            request.answer.unsubscribe(link)
+            if (!request.answer.hasSubscribers) request.detachedAtMillis = request.detachedAtMillis ?: now
+        }
+    }
+
+    private fun health(health: TargetHealth?) {
+        val now = monotonicMillis()
+        if (health == null) {
+            if (live.none { it.stage == Stage.RUNNING }) targetIncarnation = null
+            return
+        }
+        if (health.incarnation != targetIncarnation) {
+            val running = live.firstOrNull { it.stage == Stage.RUNNING }
+            if (targetIncarnation != null && running != null) crash(running)
+            targetIncarnation = health.incarnation
+            admission.onCold(now)
+        }
+        if (targetWarm && !health.warm) {
+            events.write(LogEvent.TARGET_COLD, LogField("source", "target's report"))
+            admission.onCold(now)
+        }
+        targetWarm = health.warm
+    }
+
+    private fun configure(state: ConfigState) {
+        config = state
+        val effective = state.effective()
+        effective.bundle?.let { admission.configure(it.freshTargetLimits) }
+        if (!effective.inService(settings.common.dataCentre, self.instance)) refuseQueued(RefusalReason.OUT_OF_SERVICE)
+    }
+
+    private fun leave() {
+        leaving = true
+        refuseQueued(RefusalReason.LEAVING)
+        broadcast(loadReport())
+    }
+
+    private fun refuseQueued(reason: RefusalReason) {
+        queue.drain().forEach { withdraw(it.value, reason) }
+    }
+
+    private fun tick() {
+        val now = monotonicMillis()
+        queue.removeOverdue(now).forEach { withdraw(it.value, RefusalReason.WAITED_TOO_LONG) }
+        expire(now)
+        startQueued()
+        publish()
+    }
+
+    private fun expire(now: Long) {
+        ledger.expire(clock.now().toEpochMilliseconds()).forEach { id -> requests[id]?.takeIf { it.stage == Stage.OVER }?.let(::forget) }
+        live.filter { it.isDone(now) }.forEach(::retire)
+        live.filter { it.isDetachedTooLong(now) }.forEach(::giveUp)
+        discardOldAnswers()
+    }
+
+    private fun ServedRequest.isDone(now: Long) = stage == Stage.OVER && (answer.delivered || now - overAtMillis > KEEP_ANSWER_MILLIS)
+
+    private fun ServedRequest.isDetachedTooLong(now: Long): Boolean {
+        val detachedAt = detachedAtMillis ?: return false
+        return execute.ticket == null && stage != Stage.OVER && now - detachedAt > DETACHED_MILLIS
+    }
+
+    /** Keeps the answers to tickets for resends; all else is forgotten. */
+    private fun retire(request: ServedRequest) {
+        live -= request
+        if (request.execute.ticket == null) return forget(request)
+        if (retired.add(request)) heldBytes += request.answer.heldBytes
+    }
+
+    private fun discardOldAnswers() {
+        val oldest = retired.iterator()
+        while (heldBytes > settings.retainedAnswerBytes && oldest.hasNext()) {
+            val request = oldest.next()
+            if (request in live) continue
+            heldBytes -= request.answer.heldBytes
+            request.answer.discardBody()
+            oldest.remove()
+        }
+    }
+
+    private fun forget(request: ServedRequest) {
+        if (request.execute.suspect && request.stage == Stage.QUEUED) queuedSuspects -= 1
+        requests.remove(request.key)
+        request.requestIds.forEach(byRequestId::remove)
+        live -= request
+        if (retired.remove(request)) heldBytes -= request.answer.heldBytes
+    }
+
+    private fun find(requestId: String): ServedRequest? = byRequestId[requestId]
+
+    private fun refuse(link: Link, execute: Frame.Execute, reason: RefusalReason) =
+        send(link, Frame.Refused(execute.requestId, execute.attemptId, reason, RETRY_AFTER_MILLIS))
+
+    private fun send(link: Link, frame: Frame) {
+        link.send(frame)
+    }
+
+    /** Returns the frame that tells entries how loaded the target is. */
+    fun loadReport(): Frame.Load {
+        val now = snapshot
+        return Frame.Load(now.inFlight, now.queued, now.limit, leaving || !now.inService)
+    }
+
+    private fun publish() {
+        val now = monotonicMillis()
+        val inService = config?.effective()?.inService(settings.common.dataCentre, self.instance) == true
+        snapshot =
+            WorkSnapshot(
+                inFlight = admission.inFlight,
+                queued = queue.size,
+                limit = admission.limitAt(now),
+                tickets = ledger.size,
+                kept = requests.size,
+                leaving = leaving,
+                inService = inService && refusalReason() == null,
+                targetUp = targetIncarnation != null,
+            )
+        idle = live.isEmpty()
+    }
+}
+
+private const val NANOS_PER_MILLI = 1_000_000.0
+private const val NANOS_PER_MILLI_LONG = 1_000_000L
+
+internal fun monotonicMillis(): Long = System.nanoTime() / NANOS_PER_MILLI_LONG
