--- a/benchmark/src/main/kotlin/Main.kt
+++ /dev/null
@@ -1,6 +0,0 @@
-package io.jaybeam.benchmark
-
-/** Runs benchmarks. */
-public fun main() {
-    println("none")
-}
--- /dev/null
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/RoutingBenchmark.kt
@@ -0,0 +1,78 @@
+/*
+ * Routing policies beside their baselines, in virtual time.
+ */
+package io.jaybeam.benchmark
+
+import io.jaybeam.core.routing.Router
+import io.jaybeam.core.routing.TargetView
+import io.jaybeam.core.routing.hash64
+import kotlin.random.Random
+
+private const val MILLIS_PER_SECOND = 1_000.0
+
+private class NamedPolicy(
+    val name: String,
+    val make: () -> ModelPolicy,
+)
+
+/** Prints a table for each load. */
+internal fun benchmarkRouting(seed: Long) {
+    listOf(50, 90, 150).forEach { load ->
+        val rows = policies(seed).map { policy -> row(policy.name, RoutingModel(policy.make(), load, seed).run()) }
+        printTable(
+            "Routing at $load% load: $TARGETS targets, one straggler, reports every 250 ms and 300 ms late, seed $seed",
+            listOf("policy", "first token p95 ms", "token gap p95 ms", "cache hits %", "urgent %", "patient %", "small org %", "answers/s", "retries"),
+            rows,
+        )
+    }
+}
+
+private fun policies(seed: Long) =
+    listOf(
+        NamedPolicy("round robin") {
+            var next = 0
+            ModelPolicy { views, _ -> views.getOrNull(next++ % maxOf(views.size, 1))?.index }
+        },
+        NamedPolicy("random") {
+            val random = Random(seed)
+            ModelPolicy { views, _ -> views.randomOrNull(random)?.index }
+        },
+        NamedPolicy("least outstanding, stale") {
+            ModelPolicy { views, _ -> views.minByOrNull { it.reportedInFlight + it.sentSinceReport }?.index }
+        },
+        NamedPolicy("jaybeam, no prefix") {
+            val router = Router(Random(seed))
+            ModelPolicy { views, _ -> router.pick(views, null)?.index }
+        },
+        NamedPolicy("jaybeam") {
+            val router = Router(Random(seed))
+            ModelPolicy { views, request -> router.pick(views, hash64("prefix-${request.prefix}"))?.index }
+        },
+    )
+
+private val TargetView.index: Int get() = identity.instance.drop(1).toInt()
+
+private fun row(
+    name: String,
+    result: ModelResult,
+): List<String> {
+    val answersPerSecond = (result.finishedUrgent + result.finishedPatient) / ((RUN_MILLIS - 20_000) / MILLIS_PER_SECOND)
+    return listOf(
+        name,
+        format(p95(result.firstTokenMillis), 0),
+        format(p95(result.tokenGapMillis), 1),
+        percent(result.hits, result.started),
+        percent(result.finishedUrgent, result.offeredUrgent),
+        percent(result.finishedPatient, result.offeredPatient),
+        percent(result.finishedSmall, result.offeredSmall),
+        format(answersPerSecond, 0),
+        "${result.retries}",
+    )
+}
+
+private fun p95(values: List<Double>): Double = values.sorted()[(values.size * 0.95).toInt().coerceAtMost(values.size - 1)]
+
+private fun percent(
+    part: Int,
+    whole: Int,
+) = format(100.0 * part / maxOf(whole, 1), 1)
--- a/core/src/main/kotlin/io/jaybeam/core/admission/TargetAdmission.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/TargetAdmission.kt
@@ -23,6 +23,7 @@
 private const val EVIDENCE_LIFETIME_MILLIS = 2_000L
 private const val OVERDUE_FACTOR = 4.0
 private const val MIN_OVERDUE_MILLIS = 25.0
+private const val NO_STREAMS_MILLIS = 1_000L
 
 /**
  * The concurrency limit of one target. Not thread-safe: one thread owns it. Times are monotonic milliseconds.
@@ -34,6 +35,7 @@
     private var rampStartMillis = startedAtMillis
     private var baselineStepMillis = Double.NaN
     private var lastStepAtMillis = startedAtMillis
+    private var warmReportAtMillis = startedAtMillis
     private var busySinceMillis = startedAtMillis
 
     /** Requests handed to the target and not finished. */
@@ -50,6 +52,11 @@
         rampStartMillis = nowMillis
     }
 
+    /** Notes that the target reports that it is warm. */
+    public fun onWarmReport(nowMillis: Long) {
+        warmReportAtMillis = nowMillis
+    }
+
     /** Notes that the target produced a token [stepMillis] after the one before. */
     public fun onStep(stepMillis: Double, nowMillis: Long) {
         lastStepAtMillis = nowMillis
@@ -95,12 +102,18 @@
         inFlight -= 1
     }
 
-    /** The target is known to be warm only while steps of usual length keep coming. */
+    /** The target is known to be warm only while steps of usual length keep coming or it has lately said so. */
     private fun hasEvidence(nowMillis: Long): Boolean {
         if (baselineStepMillis.isNaN()) return true
-        if (nowMillis - lastStepAtMillis > EVIDENCE_LIFETIME_MILLIS) return false
-        if (inFlight == 0) return true
-        val sinceStepMillis = nowMillis - maxOf(lastStepAtMillis, busySinceMillis)
-        return sinceStepMillis <= maxOf(baselineStepMillis * OVERDUE_FACTOR, MIN_OVERDUE_MILLIS)
+        if (stepOverdue(nowMillis)) return false
+        return nowMillis - maxOf(lastStepAtMillis, warmReportAtMillis) <= EVIDENCE_LIFETIME_MILLIS
+    }
+
+    /** Streams step together, so a step that does not come tells of a cold or stalled target before its report does. */
+    private fun stepOverdue(nowMillis: Long): Boolean {
+        if (inFlight == 0 || lastStepAtMillis < busySinceMillis) return false
+        val sinceStepMillis = nowMillis - lastStepAtMillis
+        val overdueMillis = maxOf(baselineStepMillis * OVERDUE_FACTOR, MIN_OVERDUE_MILLIS)
+        return sinceStepMillis > overdueMillis && sinceStepMillis < NO_STREAMS_MILLIS
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/PlacementSearch.kt
@@ -0,0 +1,206 @@
+/*
+ * Improves a placement step by step: each step takes the one exchange or replacement of slots that relieves the
+ * slowest rank the most for its moves.
+ */
+package io.jaybeam.core.placement
+
+private sealed class Change {
+    abstract val worstAfter: Double
+    abstract val moves: Int
+
+    /** Exchange the experts of two slots. */
+    data class Exchange(
+        val slot: Int,
+        val other: Int,
+        override val worstAfter: Double,
+    ) : Change() {
+        override val moves get() = 2
+    }
+
+    /** Load a slot with another expert. */
+    data class Replace(
+        val slot: Int,
+        val expert: Int,
+        override val worstAfter: Double,
+    ) : Change() {
+        override val moves get() = 1
+    }
+}
+
+private const val MIN_RELIEF = 1e-9
+private const val MAX_STEPS = 2_000
+
+/** Searches from [start]; not thread-safe. */
+internal class PlacementSearch(
+    start: ExpertMap,
+    private val load: LayerLoad,
+) {
+    private val slotsPerRank = start.slotsPerRank
+    private val expertBySlot = start.expertBySlot.toIntArray()
+    private val copies = IntArray(load.expertCount)
+    private val work = DoubleArray(load.rankCount)
+    private val slotsByExpert = List(load.expertCount) { mutableListOf<Int>() }
+
+    init {
+        expertBySlot.forEachIndexed { slot, expert ->
+            copies[expert] += 1
+            slotsByExpert[expert] += slot
+        }
+        expertBySlot.forEachIndexed { slot, expert -> work[rankOf(slot)] += share(expert) }
+    }
+
+    /** Takes steps until the skew is at most [targetSkew], [maxMoves] are used or nothing helps; returns the map. */
+    fun improve(
+        maxMoves: Int,
+        targetSkew: Double,
+    ): ExpertMap {
+        var movesLeft = maxMoves
+        repeat(MAX_STEPS) {
+            if (skew() <= targetSkew) return result()
+            val change = best(movesLeft) ?: return result()
+            apply(change)
+            movesLeft -= change.moves
+        }
+        return result()
+    }
+
+    private fun result() = ExpertMap(slotsPerRank, expertBySlot.toList())
+
+    private fun rankOf(slot: Int) = slot / slotsPerRank
+
+    private fun time(rank: Int) = work[rank] / load.speedByRank[rank]
+
+    private fun time(
+        rank: Int,
+        extraWork: Double,
+    ) = (work[rank] + extraWork) / load.speedByRank[rank]
+
+    private fun share(expert: Int) = load.loadByExpert[expert] / copies[expert]
+
+    private fun skew(): Double {
+        val times = work.indices.map(::time)
+        return times.max() / times.average()
+    }
+
+    /** Returns the change that relieves the slowest rank most per move. */
+    private fun best(movesLeft: Int): Change? {
+        val slowest = work.indices.maxBy(::time)
+        val slowestTime = time(slowest)
+        var best: Change? = null
+        var bestRelief = MIN_RELIEF
+        changesAt(slowest, slowestTime).filter { it.moves <= movesLeft }.forEach { change ->
+            val relief = (slowestTime - change.worstAfter) / change.moves
+            if (relief > bestRelief) {
+                best = change
+                bestRelief = relief
+            }
+        }
+        return best
+    }
+
+    private fun changesAt(
+        slowest: Int,
+        slowestTime: Double,
+    ): Sequence<Change> =
+        sequence {
+            val slots = slowest * slotsPerRank until (slowest + 1) * slotsPerRank
+            for (slot in slots) {
+                for (other in expertBySlot.indices) {
+                    if (rankOf(other) != slowest) exchange(slot, other)?.let { yield(it) }
+                }
+                relieving(expertBySlot[slot], slowestTime).forEach { yield(it) }
+            }
+            slots.filter { copies[expertBySlot[it]] > 1 }.forEach { slot -> yieldAll(replacements(slot)) }
+        }
+
+    private fun exchange(
+        slot: Int,
+        other: Int,
+    ): Change? {
+        val delta = share(expertBySlot[slot]) - share(expertBySlot[other])
+        if (delta <= 0 || holds(rankOf(other), expertBySlot[slot]) || holds(rankOf(slot), expertBySlot[other])) return null
+        return Change.Exchange(slot, other, maxOf(time(rankOf(slot), -delta), time(rankOf(other), delta)))
+    }
+
+    private fun holds(
+        rank: Int,
+        expert: Int,
+    ) = slotsByExpert[expert].any { rankOf(it) == rank }
+
+    /** Copies of [expert] in slots that hold the second copy of something cold. */
+    private fun relieving(
+        expert: Int,
+        slowestTime: Double,
+    ): List<Change> {
+        if (copies[expert] >= load.rankCount) return emptyList()
+        val shareAfter = load.loadByExpert[expert] / (copies[expert] + 1)
+        return expertBySlot.indices.mapNotNull { slot ->
+            val cold = expertBySlot[slot]
+            if (copies[cold] < 2 || cold == expert || holds(rankOf(slot), expert)) return@mapNotNull null
+            replacement(slot, cold, expert, shareAfter).takeIf { it.worstAfter < slowestTime }
+        }
+    }
+
+    /** Puts a copy of something light in [slot], whose expert stands elsewhere too. */
+    private fun replacements(slot: Int): Sequence<Change> =
+        load.loadByExpert.indices.asSequence().mapNotNull { expert ->
+            if (expert == expertBySlot[slot] || holds(rankOf(slot), expert)) return@mapNotNull null
+            replacement(slot, expertBySlot[slot], expert, load.loadByExpert[expert] / (copies[expert] + 1))
+        }
+
+    /** Works out the slowest of the ranks that loading [slot] with [next] in place of [old] touches. */
+    private fun replacement(
+        slot: Int,
+        old: Int,
+        next: Int,
+        nextShare: Double,
+    ): Change.Replace {
+        val extra = HashMap<Int, Double>()
+        val oldShareAfter = load.loadByExpert[old] / (copies[old] - 1)
+        slotsByExpert[old].forEach { extra.merge(rankOf(it), if (it == slot) -share(old) else oldShareAfter - share(old), Double::plus) }
+        slotsByExpert[next].forEach { extra.merge(rankOf(it), nextShare - share(next), Double::plus) }
+        extra.merge(rankOf(slot), nextShare, Double::plus)
+        return Change.Replace(slot, next, extra.maxOf { (rank, amount) -> time(rank, amount) })
+    }
+
+    private fun apply(change: Change) {
+        when (change) {
+            is Change.Exchange -> {
+                val first = expertBySlot[change.slot]
+                val second = expertBySlot[change.other]
+                assign(change.slot, second)
+                assign(change.other, first)
+            }
+
+            is Change.Replace -> {
+                assign(change.slot, change.expert)
+            }
+        }
+    }
+
+    private fun assign(
+        slot: Int,
+        expert: Int,
+    ) {
+        val old = expertBySlot[slot]
+        reshare(old) {
+            copies[old] -= 1
+            slotsByExpert[old].remove(slot)
+        }
+        expertBySlot[slot] = expert
+        reshare(expert) {
+            copies[expert] += 1
+            slotsByExpert[expert] += slot
+        }
+    }
+
+    /** Takes the work of [expert] off all ranks, lets [change] change its slots and spreads the work again. */
+    private fun reshare(
+        expert: Int,
+        change: () -> Unit,
+    ) {
+        slotsByExpert[expert].forEach { work[rankOf(it)] -= share(expert) }
+        change()
+        slotsByExpert[expert].forEach { work[rankOf(it)] += share(expert) }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/io/jaybeam/core/placement/PlacementTest.kt
@@ -0,0 +1,66 @@
+package io.jaybeam.core.placement
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import kotlin.math.pow
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+internal class PlacementTest {
+    private fun skewedLoad(
+        random: Random,
+        ranks: Int = 16,
+        experts: Int = 32,
+    ): LayerLoad {
+        val loads = List(experts) { 1.0 / (it + 1.0).pow(0.8) }.shuffled(random)
+        return LayerLoad(loads, List(ranks) { if (random.nextInt(16) == 0) 0.7 else 1.0 })
+    }
+
+    @Property(tries = 100)
+    fun `a plan keeps every expert, stays within its moves and is never slower`(
+        @ForAll seed: Long,
+    ) {
+        val random = Random(seed)
+        val current = solvePlacement(skewedLoad(random), 3)
+        val load = skewedLoad(random)
+        val plan = planPlacement(current, load, PlacementPolicy(maxMoves = 6, minGainPercent = 1.0)) ?: return
+        assertEquals(load.expertCount, plan.map.expertBySlot.toSet().size)
+        assertTrue(plan.moves in 1..6, "${plan.moves} moves")
+        assertTrue(plan.gainPercent >= 1.0)
+        assertEquals(stepTimes(plan.map, load).slowest, plan.after.slowest)
+    }
+
+    @Property(tries = 100)
+    fun `no map is faster than the lower bound`(
+        @ForAll seed: Long,
+    ) {
+        val load = skewedLoad(Random(seed))
+        assertTrue(stepTimes(solvePlacement(load, 3), load).slowest >= stepTimeLowerBound(load, 3) - 1e-9)
+    }
+
+    @Test
+    fun `a straggler rank is given less work`() {
+        val load = LayerLoad(List(32) { 1.0 }, List(16) { if (it == 0) 0.5 else 1.0 })
+        val times = stepTimes(solvePlacement(load, 3), load)
+        assertTrue(times.skew < 1.3, "skew ${times.skew}")
+    }
+
+    @Test
+    fun `a balanced map is left alone`() {
+        val load = LayerLoad(List(32) { 1.0 }, List(16) { 1.0 })
+        assertNull(planPlacement(solvePlacement(load, 2), load, PlacementPolicy(10, 1.0)))
+    }
+
+    @Test
+    fun `a gain below the least gain is not worth a move`() {
+        val random = Random(5)
+        val current = solvePlacement(skewedLoad(random), 3)
+        val load = skewedLoad(random)
+        assertNotNull(planPlacement(current, load, PlacementPolicy(10, 1.0)))
+        assertNull(planPlacement(current, load, PlacementPolicy(10, 99.0)))
+    }
+}
--- a/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
@@ -5,6 +5,7 @@
 
 import io.jaybeam.core.config.EffectiveConfig
 import io.jaybeam.core.quarantine.CrashLedger
+import io.jaybeam.core.quarantine.Standing
 import io.jaybeam.core.routing.Router
 import io.jaybeam.core.ticket.TargetIncarnation
 import io.jaybeam.entry.calls.Call
@@ -17,6 +18,8 @@
 import io.jaybeam.entry.calls.filterChain
 import io.jaybeam.entry.forward.Forwarder
 import io.jaybeam.entry.forward.KeyBindingController
+import io.jaybeam.entry.forward.RepeatableForwarder
+import io.jaybeam.entry.forward.TicketForwarder
 import io.jaybeam.entry.forward.TicketMint
 import io.jaybeam.entry.targets.ChannelListener
 import io.jaybeam.entry.targets.TargetChannel
@@ -30,6 +33,7 @@
 import io.jaybeam.platform.observe.LogEvent
 import io.jaybeam.platform.observe.LogField
 import io.jaybeam.platform.observe.metricsRegistry
+import io.jaybeam.platform.settings.ServingProcess
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkRuntime
@@ -55,7 +59,8 @@
 internal class EntryProcess(
     private val settings: EntrySettings,
     clock: Clock,
-) : ChannelListener {
+) : ServingProcess,
+    ChannelListener {
     private val common = settings.common
     private val events = EventLog(common.instance, clock)
     private val identity = TargetIncarnation(common.instance, UUID.randomUUID().toString())
@@ -79,7 +84,11 @@
     private val mint = TicketMint(directory, router, clock, ::effective)
     private val bindings = KeyBindingController(LogClient(common.platform.logUrl), mint, settings.keyWindowMillis, clock, events)
     private val forwarder =
-        Forwarder(directory, router, mint, crashes, settings.reattachMillis, ::effective, ::monotonicMillis, bindings::bind)
+        Forwarder(
+            repeatable = RepeatableForwarder(directory, router, crashes, settings.reattachMillis, ::effective, ::monotonicMillis),
+            tickets = TicketForwarder(directory, mint, crashes, settings.reattachMillis, ::monotonicMillis),
+            bindings = bindings,
+        )
     private val filters = listOf(OrganisationLimitFilter(), TicketOwnerFilter)
     private val latency = Timer.builder("jaybeam.entry.call").register(registry)
     private lateinit var admin: AdminServer
@@ -89,7 +98,7 @@
     private var stopping = false
 
     /** Starts every duty. */
-    fun start() {
+    override fun start() {
         events.write(LogEvent.PROCESS_STARTED, LogField("incarnation", identity.incarnation))
         config.start()
         bindings.start()
@@ -112,7 +121,7 @@
     }
 
     /** Reports itself not ready, lets every call finish and stops. */
-    fun stop() {
+    override fun stop() {
         events.write(LogEvent.PROCESS_STOPPING)
         stopping = true
         callers.drain(settings.drainGraceMillis)
@@ -156,6 +165,9 @@
     private fun crashed(frame: Frame.Crash) {
         if (!crashes.onCrash(frame.crashId, frame.fingerprints, monotonicMillis())) return
         events.write(LogEvent.TARGET_CRASHED, LogField("crash", frame.crashId), LogField("inFlight", "${frame.fingerprints.size}"))
+        frame.fingerprints.filter { crashes.standing(it, monotonicMillis()) == Standing.QUARANTINED }.forEach {
+            events.write(LogEvent.REQUEST_QUARANTINED, LogField("fingerprint", it))
+        }
         directory.broadcast(frame)
     }
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntrySettings.kt
@@ -21,6 +21,9 @@
     val callerThreads: Int,
 )
 
+private const val MAX_TARGETS = 100_000
+private const val MIN_CALLER_THREADS = 16
+private const val MAX_CALLER_THREADS = 16_384
 private const val DAY_MILLIS = 86_400_000L
 private const val DEFAULT_SNAPSHOT_MILLIS = 600_000L
 private const val DEFAULT_KEY_WINDOW_MILLIS = 600_000L
@@ -39,6 +42,6 @@
         defaultDeadlineMillis = long("defaultDeadlineMillis", 1..DAY_MILLIS, DEFAULT_DEADLINE_MILLIS),
         reattachMillis = long("reattachMillis", 0..DAY_MILLIS, DEFAULT_REATTACH_MILLIS),
         drainGraceMillis = long("drainGraceMillis", 0..DAY_MILLIS, DEFAULT_DRAIN_GRACE_MILLIS),
-        targetsPerService = int("targetsPerService", 1..100_000, DEFAULT_TARGETS_PER_SERVICE),
-        callerThreads = int("callerThreads", 16..16_384, DEFAULT_CALLER_THREADS),
+        targetsPerService = int("targetsPerService", 1..MAX_TARGETS, DEFAULT_TARGETS_PER_SERVICE),
+        callerThreads = int("callerThreads", MIN_CALLER_THREADS..MAX_CALLER_THREADS, DEFAULT_CALLER_THREADS),
     )
--- a/entry/src/main/kotlin/io/jaybeam/entry/Main.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/Main.kt
@@ -7,17 +7,14 @@
 import io.jaybeam.entry.operator.ConfigCommand
 import io.jaybeam.entry.operator.DataCentreCommand
 import io.jaybeam.entry.operator.DumpCommand
-import io.jaybeam.entry.operator.ExitCodes
 import io.jaybeam.entry.operator.InstanceCommand
 import io.jaybeam.entry.operator.KeysCommand
-import io.jaybeam.platform.settings.Termination
-import io.jaybeam.platform.settings.readSettings
+import io.jaybeam.platform.settings.runProcess
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import java.nio.file.Path
 import java.util.concurrent.Callable
-import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 import kotlin.time.Clock
 
@@ -48,23 +45,7 @@
     @Option(names = ["--check"], description = ["Check the settings and exit"])
     private var checkOnly: Boolean = false
 
-    override fun call(): Int =
-        readSettings(settingsPath) { entrySettings() }.fold(
-            { faults ->
-                faults.forEach { System.err.println("jaybeam: settings: $it") }
-                ExitCodes.BAD_INPUT
-            },
-            { settings -> if (checkOnly) ExitCodes.DONE else serve(settings) },
-        )
-
-    private fun serve(settings: EntrySettings): Int {
-        val termination = Termination().also { it.install() }
-        val process = EntryProcess(settings, Clock.System)
-        process.start()
-        termination.onShutdown(process::stop)
-        CountDownLatch(1).await()
-        return ExitCodes.DONE
-    }
+    override fun call(): Int = runProcess(settingsPath, checkOnly, { entrySettings() }) { EntryProcess(it, Clock.System) }
 }
 
 /** Starts an entry instance or runs an operators' subcommand. */
--- a/entry/src/main/kotlin/io/jaybeam/entry/forward/AnswerRelay.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/forward/AnswerRelay.kt
@@ -8,7 +8,9 @@
 import io.jaybeam.core.ticket.TargetIncarnation
 import io.jaybeam.core.ticket.Ticket
 import io.jaybeam.entry.calls.Call
+import io.jaybeam.entry.calls.CallResult
 import io.jaybeam.entry.calls.CallerResponse
+import io.jaybeam.entry.calls.Problem
 import io.jaybeam.entry.targets.Attempt
 import io.jaybeam.entry.targets.AttemptEvent
 import io.jaybeam.entry.targets.Reach
@@ -69,6 +71,13 @@
     private val reattachMillis: Long,
 ) {
     val progress = RelayProgress()
+    private var missed = false
+
+    /** Identifies the content of the call. */
+    val fingerprint: String get() = call.fingerprint
+
+    /** Returns [problem] as a refusal, or as a cut where the caller has seen part of an answer. */
+    fun unfinished(problem: Problem): CallResult = if (progress.begun) CallResult.CutOff(problem.detail) else CallResult.Refusal(problem)
 
     /** Runs the call on [identity] through [channel], under [ticket] if there is one. */
     fun run(
@@ -112,17 +121,15 @@
                 is AttemptEvent.LinkLost -> return null
                 is AttemptEvent.Arrived -> take(attempt, event.frame)?.let { return it }
             }
-            if (missed) return null.also { attempt.cancelRelay() }
+            if (missed) return null.also { missed = false }
         }
     }
 
-    private var missed = false
-
     private fun take(attempt: Attempt, frame: Frame): RelayEnd? =
         when (frame) {
             is Frame.Head -> null.also { head(frame) }
             is Frame.Chunk -> null.also { chunk(attempt, frame) }
-            is Frame.End -> end(frame)
+            is Frame.End -> end(attempt, frame)
             is Frame.Refused -> RelayEnd.Refused(frame.reason, frame.retryAfterMillis)
             is Frame.Undecided -> RelayEnd.Undecided(frame.problem)
             is Frame.Broken -> RelayEnd.Lost(frame.detail)
@@ -147,17 +154,19 @@
         attempt.acknowledge(progress.nextChunk)
     }
 
-    private fun end(frame: Frame.End): RelayEnd? {
+    private fun end(
+        attempt: Attempt,
+        frame: Frame.End,
+    ): RelayEnd? {
         val status = progress.status
-        if (status != null && frame.chunkCount == progress.nextChunk) return RelayEnd.Done(status)
+        if (status != null && frame.chunkCount == progress.nextChunk) {
+            attempt.acknowledge(progress.nextChunk)
+            return RelayEnd.Done(status)
+        }
         missed = true
         return null
     }
 
-    private fun Attempt.cancelRelay() {
-        missed = false
-    }
-
     private fun execute(ticket: Ticket?, suspect: Boolean, attachOnly: Boolean) =
         Frame.Execute(
             requestId = call.requestId,
--- a/entry/src/main/kotlin/io/jaybeam/entry/forward/KeyBindingController.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/forward/KeyBindingController.kt
@@ -11,6 +11,7 @@
 import io.jaybeam.core.ticket.keyAge
 import io.jaybeam.entry.calls.Call
 import io.jaybeam.entry.calls.Problem
+import io.jaybeam.entry.calls.ProblemOutcome
 import io.jaybeam.entry.calls.badRequest
 import io.jaybeam.entry.calls.noTarget
 import io.jaybeam.entry.calls.outcomeUnknown
@@ -86,9 +87,13 @@
     fun bind(call: Call, key: String): BindingResult {
         val age = keyAge(key, clock.now().toEpochMilliseconds(), windowMillis, MAX_SKEW_MILLIS)
         if (age != KeyAge.USABLE) return BindingResult.Failed(unusable(age))
-        lock.withLock { bindings.find(call.organisation, key) }?.let { return follow(it, call) }
+        val known = lock.withLock { bindings.find(call.organisation, key) }
+        return if (known == null) propose(call, key) else follow(known, call)
+    }
+
+    private fun propose(call: Call, key: String): BindingResult {
         val ticket = mint.mintOrNull(call.service, call.organisation)
-        if (ticket == null) return BindingResult.Failed(notForwarded("no target of service ${call.service} takes work now"))
+        if (ticket == null) return BindingResult.Failed(notForwarded(noTargetTakesWork(call.service)))
         if (!caughtUp || !toAppend.offer(KeyBinding(call.organisation, key, call.fingerprint, ticket))) {
             return BindingResult.Failed(notForwarded("the log service is out of reach"))
         }
@@ -181,7 +186,7 @@
     private fun notForwarded(reason: String): Problem =
         noTarget("this attempt was not forwarded ($reason); an earlier attempt with the same key may have run").copy(
             title = "Not forwarded",
-            outcome = io.jaybeam.entry.calls.ProblemOutcome.UNKNOWN,
+            outcome = ProblemOutcome.UNKNOWN,
             remedy = "send the same request with the same Idempotency-Key again; it runs at most once",
         )
 }
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Caller.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Caller.kt
@@ -9,6 +9,7 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
 import java.io.IOException
 
 private const val READ_MILLIS = 60_000L
@@ -61,8 +62,7 @@
         tokens: Int,
         options: CallOptions = CallOptions(),
     ): Reply {
-        val body = """{"model":"$MODEL_SERVICE","messages":[{"role":"user","content":"$prompt"}],"max_tokens":$tokens,"stream":true}"""
-        return post("$entryUrl/v1/chat/completions", body, options)
+        return post("$entryUrl/v1/chat/completions", chatBody(prompt, tokens), options)
     }
 
     /** Sends a booking. */
@@ -75,28 +75,34 @@
 
     /** Sends [body] to [url]. */
     public fun post(url: String, body: String, options: CallOptions): Reply {
-        val startNanos = System.nanoTime()
         val received = StringBuilder()
+        val startNanos = System.nanoTime()
         return try {
-            client.newCall(request(url, body, options)).execute().use { response ->
-                var firstNanos = 0L
-                val buffer = ByteArray(BUFFER_BYTES)
-                val stream = response.body.byteStream()
-                while (true) {
-                    val read = stream.read(buffer)
-                    if (read < 0) break
-                    if (firstNanos == 0L) firstNanos = System.nanoTime()
-                    received.append(String(buffer, 0, read))
-                }
-                val outcome = response.header("Jaybeam-Outcome")
-                if (outcome != null) return Reply.Refused(response.code, outcome, "$received", response.header("Jaybeam-Ticket"))
-                Reply.Whole(response.code, "$received", millis(startNanos, firstNanos), millis(startNanos, System.nanoTime()))
-            }
+            client.newCall(request(url, body, options)).execute().use { read(it, received, startNanos) }
         } catch (e: IOException) {
             Reply.Cut(e.message ?: e.toString(), "$received")
         }
     }
 
+    private fun read(
+        response: Response,
+        received: StringBuilder,
+        startNanos: Long,
+    ): Reply {
+        var firstNanos = 0L
+        val buffer = ByteArray(BUFFER_BYTES)
+        val stream = response.body.byteStream()
+        while (true) {
+            val read = stream.read(buffer)
+            if (read < 0) break
+            if (firstNanos == 0L) firstNanos = System.nanoTime()
+            received.append(String(buffer, 0, read))
+        }
+        val outcome = response.header("Jaybeam-Outcome")
+        if (outcome != null) return Reply.Refused(response.code, outcome, "$received", response.header("Jaybeam-Ticket"))
+        return Reply.Whole(response.code, "$received", millis(startNanos, firstNanos), millis(startNanos, System.nanoTime()))
+    }
+
     private fun request(url: String, body: String, options: CallOptions): Request {
         val builder = Request.Builder().url(url).post(body.toRequestBody("application/json".toMediaType()))
         builder.header("Jaybeam-Organisation", options.organisation)
@@ -113,3 +119,22 @@
 }
 
 private const val BUFFER_BYTES = 8_192
+
+private const val LAST_EVENT = "data: [DONE]\n\n"
+
+/** Returns the body of a request for a streamed answer of [tokens] tokens. */
+private fun chatBody(
+    prompt: String,
+    tokens: Int,
+) = """{"model":"$MODEL_SERVICE","messages":[{"role":"user","content":"$prompt"}],"max_tokens":$tokens,"stream":true}"""
+
+/** Returns whether this is the stand-in engine's answer to exactly this request: its echo, every token in order, the end. */
+public fun Reply.Whole.isWholeStream(
+    prompt: String,
+    tokens: Int,
+): Boolean {
+    val request = chatBody(prompt, tokens)
+    val echo = "data: {\"echo\":${request.length},\"hash\":${request.hashCode()}}\n\n"
+    val content = (0 until tokens).joinToString("") { "data: {\"choices\":[{\"delta\":{\"content\":\"t$it \"}}]}\n\n" }
+    return body == echo + content + LAST_EVENT
+}
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Demo.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Demo.kt
@@ -16,6 +16,7 @@
     Fleet(plan) { println("  ... $it") }.use { fleet ->
         println("jaybeam: ${plan.entries} entries, ${plan.modelTargets} model targets, ${plan.plainTargets} booking targets")
         fleet.start()
+        fleet.publishBundle("second")
         println("ready after ${started.elapsedNow().inWholeSeconds} s")
         val failures = mutableListOf<String>()
         failures += showStreams(fleet)
@@ -85,17 +86,6 @@
     return failures + listOf(out, back).filter { it.exitCode != 0 }.map { "operator's command failed: ${it.text}" }
 }
 
-/** Returns the requests in flight at the model targets of [dataCentre]. */
-internal fun Fleet.inFlightIn(dataCentre: String): Int =
-    targets.filter { it.dataCentre == dataCentre && it.service == MODEL_SERVICE }.sumOf { target ->
-        val report = get("${target.targetUrl}/control/report").orEmpty()
-        Regex("\"inFlight\":(\\d+)")
-            .find(report)
-            ?.groupValues
-            ?.get(1)
-            ?.toInt() ?: 0
-    }
-
 private fun report(title: String, load: Load) {
     val first = listOf(50.0, 95.0, 99.0).joinToString(" / ") { "%.0f".format(load.firstByteMillis(it)) }
     val total = listOf(50.0, 95.0, 99.0).joinToString(" / ") { "%.0f".format(load.totalMillis(it)) }
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
@@ -3,8 +3,20 @@
  */
 package io.jaybeam.scenarios
 
+import io.jaybeam.core.config.ChangeSigner
+import io.jaybeam.core.config.ChangeVerifier
+import io.jaybeam.core.config.ConfigChange
+import io.jaybeam.core.config.ConfigItem
+import io.jaybeam.core.config.ConfigItemKind
+import io.jaybeam.core.config.ConfigRecord
+import io.jaybeam.core.config.ConfigState
+import io.jaybeam.core.config.NO_VERSION
+import io.jaybeam.core.config.recordJson
+import io.jaybeam.platform.config.CONFIG_STREAM
+import io.jaybeam.platform.config.decodeConfigRecordOrNull
 import io.jaybeam.platform.http.HttpTimeouts
 import io.jaybeam.platform.http.singleAttemptClient
+import io.jaybeam.platform.log.LogClient
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
@@ -16,6 +28,8 @@
 import java.security.KeyPairGenerator
 import java.util.Base64
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 
 private const val HOST = "127.0.0.1"
 private const val ENTRY_MAIN = "io.jaybeam.entry.MainKt"
@@ -23,7 +37,7 @@
 private const val STAND_IN_MAIN = "io.jaybeam.standins.MainKt"
 private const val STAND_IN_HEAP_MEGABYTES = 64
 private const val PRODUCT_HEAP_MEGABYTES = 96
-private const val START_MILLIS = 90_000L
+private const val START_MILLIS = 45_000L
 private const val POLL_MILLIS = 50L
 private const val CLI_MILLIS = 60_000L
 private const val EXIT_MILLIS = 20_000L
@@ -94,16 +108,29 @@
         List(plan.modelTargets) { target("model-${it + 1}", it, MODEL_SERVICE) } +
             List(plan.plainTargets) { target("booking-${it + 1}", it, PLAIN_SERVICE) }
 
+    private val linkRelays = targets.associate { it.instance to FaultyRelay(it.linkPort) }
+    private val logRelays = (entries.map { it.instance } + targets.map { it.instance }).associateWith { FaultyRelay(logPort) }
+
+    /** The relay between all entries and the side of [target]. */
+    public fun linkRelay(target: TargetPair): FaultyRelay = linkRelays.getValue(target.instance)
+
+    /** The relay between the process on [instance] and the log. */
+    public fun logRelay(instance: String): FaultyRelay = logRelays.getValue(instance)
+
     /** URL of the log stand-in. */
     public val logUrl: String get() = "http://$HOST:$logPort"
 
+    /** URL of the weight store stand-in. */
+    public val weightsUrl: String get() = "http://$HOST:$weightsPort"
+
     /** URL of the instance list stand-in. */
     public val listUrl: String get() = "http://$HOST:$listPort"
 
     /** Starts the whole site and waits until every entry and side is ready. */
     public fun start() {
+        progress("starting ${entries.size} entries and ${targets.size} targets with their sides")
         startPlatform()
-        publishBundle()
+        append(ConfigChange.PutBundle("first", NO_VERSION, "desk", plan.bundleText()))
         targets.forEach { startTarget(it) }
         targets.forEach { startSide(it) }
         entries.forEach { startEntry(it) }
@@ -133,6 +160,42 @@
         check(publish.exitCode == 0) { "bundle publish failed: ${publish.text}" }
     }
 
+    /** Appends a signed change to the log without the operators' subcommands; returns whether the log answered. */
+    public fun append(change: ConfigChange): Boolean {
+        val signed = ChangeSigner("ops", keys.private).sign(change)
+        val record = recordJson.encodeToString(ConfigRecord.serializer(), ConfigRecord.Change(signed))
+        return LogClient(logUrl).append(CONFIG_STREAM, record).isRight()
+    }
+
+    /** Returns the version of [item] according to the log. */
+    public fun itemVersion(item: ConfigItem): Long {
+        val page = checkNotNull(LogClient(logUrl).read(CONFIG_STREAM, 0, 0).getOrNull()) { "the log does not answer" }
+        val verifier = ChangeVerifier(mapOf("ops" to keys.public))
+        val records = page.records.map(::decodeConfigRecordOrNull)
+        return checkNotNull(ConfigState.bootstrap(page.startOffset, records, verifier)) { "the log holds no whole state" }.versionOf(item)
+    }
+
+    /** Takes [instance] in or out of service by a signed change in the log. */
+    public fun setInstance(
+        instance: String,
+        inService: Boolean,
+    ) {
+        val base = itemVersion(ConfigItem(ConfigItemKind.INSTANCE, instance))
+        append(ConfigChange.SetInstance("set-$instance-$base", base, "desk", instance, inService))
+    }
+
+    /** Takes data centre [name] in or out of service by a signed change in the log. */
+    public fun setDataCentre(
+        name: String,
+        inService: Boolean,
+    ) {
+        val base = itemVersion(ConfigItem(ConfigItemKind.DATA_CENTRE, name))
+        append(ConfigChange.SetDataCentre("set-$name-$base", base, "desk", name, inService))
+    }
+
+    /** Returns the offset of the last record of the configuration stream. */
+    public fun logEnd(): Long = checkNotNull(LogClient(logUrl).read(CONFIG_STREAM, 0, 0).getOrNull()).nextOffset - 1
+
     /** Runs an operators' subcommand of the `jaybeam` binary to its end. */
     public fun operate(vararg arguments: String): CommandResult {
         val name = "cli-${System.nanoTime()}"
@@ -155,7 +218,7 @@
     public fun startTarget(target: TargetPair) {
         val name = "target-${target.instance}"
         if (target.service == MODEL_SERVICE) {
-            standIn(name, "engine", target.targetPort, "--profile", plan.engineProfile)
+            standIn(name, "engine", target.targetPort, "--profile", plan.engineProfile.replace(FleetPlan.WEIGHTS_PLACEHOLDER, weightsUrl))
         } else {
             standIn(name, "service", target.targetPort)
         }
@@ -163,11 +226,27 @@
 
     /** Starts the side process of [target]. */
     public fun startSide(target: TargetPair) {
+        startSide("side-${target.instance}", target, target.linkPort, target.adminPort)
+    }
+
+    /** Starts a second side process beside [target] on ports of its own, as a replacement whose predecessor still lives. */
+    public fun startReplacement(target: TargetPair) {
+        val adminPort = freePort()
+        startSide("replacement-${target.instance}", target, freePort(), adminPort)
+        awaitTrue("replacement of ${target.instance}") { get("http://$HOST:$adminPort/healthz") != null }
+    }
+
+    private fun startSide(
+        name: String,
+        target: TargetPair,
+        linkPort: Int,
+        adminPort: Int,
+    ) {
         val kind = if (target.service == MODEL_SERVICE) "MODEL" else "PLAIN"
         val text =
-            """{${common(target.instance, target.dataCentre, target.adminPort)}, "linkPort": ${target.linkPort},
+            """{${common(target.instance, target.dataCentre, adminPort)}, "linkPort": $linkPort,
             "target": {"url": "${target.targetUrl}", "service": "${target.service}", "kind": "$kind", "orderFencing": true}}"""
-        launch("side-${target.instance}", SIDE_MAIN, listOf("--settings", settingsFile(target.instance, text)))
+        launch(name, SIDE_MAIN, listOf("--settings", settingsFile(name, text)))
     }
 
     /** Starts [entry]. */
@@ -178,10 +257,18 @@
         launch(entry.instance, ENTRY_MAIN, listOf("entry", "--settings", settingsFile(entry.instance, text)))
     }
 
+    /** Whether the process called [name] runs. */
+    public fun isRunning(name: String): Boolean = processes[name]?.isAlive == true
+
     /** Waits until every entry is ready and linked to every side. */
     public fun awaitReady() {
         progress("waiting for ${entries.size} entries and ${targets.size} sides")
-        targets.forEach { target -> awaitTrue("side of ${target.instance}") { get("${target.adminUrl}/readyz") != null } }
+        targets.forEach { target ->
+            awaitTrue("side of ${target.instance}") {
+                check(isRunning("side-${target.instance}")) { "the side of ${target.instance} ended; ${failures()}" }
+                get("${target.adminUrl}/readyz") != null
+            }
+        }
         entries.forEach { entry -> awaitReady(entry) }
     }
 
@@ -192,8 +279,8 @@
         awaitTrue("links of ${entry.instance}") { linkedTargets(entry) >= running }
     }
 
-    /** Returns how many targets [entry] gives work to. */
-    public fun linkedTargets(entry: EntryNode): Int = get("${entry.adminUrl}/dump")?.split("\"takesWork\":true")?.let { it.size - 1 } ?: 0
+    /** Returns how many targets [entry] has a link to. */
+    public fun linkedTargets(entry: EntryNode): Int = get("${entry.adminUrl}/dump")?.split("\"linked\":true")?.let { it.size - 1 } ?: 0
 
     /** Returns the process called [name]: an entry's name, or `side-` or `target-` with an instance's name. */
     public fun process(name: String): ManagedProcess = checkNotNull(processes[name]) { "no process is called $name" }
@@ -203,7 +290,7 @@
         val listed =
             targets.joinToString(",") {
                 """{"instance":"${it.instance}","role":"SIDE","dataCentre":"${it.dataCentre}","host":"$HOST",
-                "port":${it.linkPort},"service":"${it.service}","phase":"${it.phase}"}"""
+                "port":${linkRelay(it).port},"service":"${it.service}","phase":"${it.phase}"}"""
             }
         send("PUT", "$listUrl/instances", """{"instances":[$listed]}""")
     }
@@ -213,6 +300,14 @@
         send("POST", "$url/control", json)
     }
 
+    /** Sends [json] to [url]. */
+    public fun post(
+        url: String,
+        json: String,
+    ) {
+        send("POST", url, json)
+    }
+
     /** Returns the body at [url], or null unless the answer is successful. */
     public fun get(url: String): String? =
         try {
@@ -240,9 +335,14 @@
 
     override fun close() {
         processes.values.forEach { it.kill() }
+        (linkRelays.values + logRelays.values).forEach { it.close() }
         directory.toFile().deleteRecursively()
     }
 
+    /** Returns the last [characters] that each process wrote. */
+    public fun outputTails(characters: Int): String =
+        processes.values.joinToString("\n") { "--- ${it.name}\n${it.outputText().takeLast(characters)}" }
+
     private fun failures(): String =
         processes.values
             .filter { !it.isAlive }
@@ -255,7 +355,7 @@
 
     private fun common(instance: String, dataCentre: String, adminPort: Int) =
         """"instance": "$instance", "dataCentre": "$dataCentre", "host": "$HOST", "adminPort": $adminPort,
-        "platform": {"logUrl": "$logUrl", "instanceListUrl": "$listUrl"},
+        "platform": {"logUrl": "http://$HOST:${logRelay(instance).port}", "instanceListUrl": "$listUrl"},
         "trustedKeys": [{"keyId": "ops", "publicKey": "${encode(keys.public.encoded)}"}]"""
 
     private fun settingsFile(instance: String, text: String): String =
@@ -291,7 +391,31 @@
     private fun encode(bytes: ByteArray) = Base64.getEncoder().encodeToString(bytes)
 }
 
+/** Returns the requests in flight at the model targets of [dataCentre]. */
+public fun Fleet.inFlightIn(dataCentre: String): Int =
+    targets.filter { it.dataCentre == dataCentre && it.service == MODEL_SERVICE }.sumOf { target ->
+        val report = get("${target.targetUrl}/control/report").orEmpty()
+        Regex("\"inFlight\":(\\d+)")
+            .find(report)
+            ?.groupValues
+            ?.get(1)
+            ?.toInt() ?: 0
+    }
+
 private const val OUTPUT_TAIL = 600
 private const val BACKLOG = 1
-
-private fun freePort(): Int = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()).use { it.localPort }
+private const val FIRST_PORT = 20_000
+private const val PORT_COUNT = 12_000
+private val nextPort = AtomicInteger(Random.nextInt(PORT_COUNT))
+
+/** Returns a port below the range from which the system takes ports of outgoing connections. */
+internal fun freePort(): Int {
+    while (true) {
+        val port = FIRST_PORT + nextPort.getAndIncrement() % PORT_COUNT
+        try {
+            ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress()).use { return port }
+        } catch (e: IOException) {
+            continue
+        }
+    }
+}
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetPlan.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetPlan.kt
@@ -26,7 +26,13 @@
     val snapshotIntervalMillis: Long = 600_000,
     val patientMaxWaitMillis: Long = 20_000,
     val maxInFlightPerOrganisation: Int = 256,
-)
+) {
+    /** Names in an engine profile. */
+    public companion object {
+        /** Stands for the weight store's URL. */
+        public const val WEIGHTS_PLACEHOLDER: String = "WEIGHTS-URL"
+    }
+}
 
 /** Returns the JSON text of the plan's bundle. */
 public fun FleetPlan.bundleText(name: String = "first"): String =
--- /dev/null
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
@@ -0,0 +1,240 @@
+package io.jaybeam.scenarios
+
+import io.cucumber.java.Before
+import io.cucumber.java.en.Then
+import io.cucumber.java.en.When
+import io.jaybeam.core.ticket.decodeTicketOrNull
+import java.util.UUID
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+private const val REPLY_SECONDS = 60L
+
+/** Steps that send bookings and count what ran. */
+internal class BookingSteps {
+    private class Booking(
+        val options: CallOptions,
+    ) {
+        val replies = mutableListOf<CompletableFuture<Reply>>()
+    }
+
+    private val fleet get() = Site.fleet
+    private val bookings = LinkedHashMap<String, Booking>()
+    private val caller = Caller()
+
+    @Before
+    fun reset() = bookings.clear()
+
+    @When("the booking services answer after {int} ms")
+    fun delay(millis: Int) = setFaults("""{"delayMillis": $millis}""")
+
+    @When("the booking services answer 503 with Retry-After 0")
+    fun unavailable() = setFaults("""{"status": 503, "retryAfter": "0"}""")
+
+    @When("the booking services cut their answers after {int} bytes")
+    fun cutAnswers(bytes: Int) = setFaults("""{"cutAfterBytes": $bytes}""")
+
+    @When("booking {string} is sent with a ticket through entry {int}")
+    fun sendWithTicket(
+        name: String,
+        entry: Int,
+    ) {
+        val ticket = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
+        send(name, CallOptions(ticket = ticket, booking = name), entry)
+    }
+
+    @When("booking {string} is sent with a ticket and a deadline of {int} ms through entry {int}")
+    fun sendWithDeadline(
+        name: String,
+        deadlineMillis: Int,
+        entry: Int,
+    ) {
+        val ticket = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
+        send(name, CallOptions(ticket = ticket, booking = name, deadlineMillis = deadlineMillis.toLong()), entry)
+    }
+
+    @When("a ticket for booking {string} is taken through entry {int}")
+    fun takeTicket(
+        name: String,
+        entry: Int,
+    ) {
+        val ticket = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
+        bookings[name] = Booking(CallOptions(ticket = ticket, booking = name))
+    }
+
+    @When("booking {string} is sent with neither ticket nor key through entry {int}")
+    fun sendPlain(
+        name: String,
+        entry: Int,
+    ) = send(name, CallOptions(booking = name), entry)
+
+    @When("booking {string} is sent with a key through entry {int}")
+    fun sendWithKey(
+        name: String,
+        entry: Int,
+    ) = send(name, CallOptions(key = newKey(), booking = name), entry)
+
+    @When("booking {string} is sent with a key through every entry together")
+    fun sendEverywhere(name: String) {
+        val options = CallOptions(key = newKey(), booking = name)
+        fleet.entries.indices.forEach { send(name, options, it + 1) }
+    }
+
+    @When("booking {string} is sent again through entry {int}")
+    fun sendAgain(
+        name: String,
+        entry: Int,
+    ) = send(name, bookings.getValue(name).options, entry)
+
+    @When("booking {string} is sent again through entry {int} with a deadline of {int} ms")
+    fun sendAgainWithDeadline(
+        name: String,
+        entry: Int,
+        deadlineMillis: Int,
+    ) {
+        val booking = bookings.getValue(name)
+        booking.replies += sendAsync(booking.options.copy(deadlineMillis = deadlineMillis.toLong()), entry)
+    }
+
+    @When("the side that may first run booking {string} is {word}")
+    fun breakFirst(
+        name: String,
+        action: String,
+    ) {
+        val side = fleet.process("side-${firstInstance(name)}")
+        when (action) {
+            "killed" -> side.kill()
+            "frozen" -> side.freeze()
+            "thawed" -> side.thaw()
+            else -> error("a side can be killed, frozen or thawed, not $action")
+        }
+    }
+
+    @When("open connections to the side that may first run booking {string} go silent")
+    fun silenceFirst(name: String) = fleet.linkRelay(Site.target(firstInstance(name))).silenceOpenConnections()
+
+    @When("the side that may first run booking {string} is started again")
+    fun startFirstAgain(name: String) = SiteSteps().startSide(firstInstance(name))
+
+    @When("every booking target is taken {word} of service")
+    fun setAll(direction: String) = setBookingTargets(direction)
+
+    @When("every booking target is taken {word} service")
+    fun setAllIn(direction: String) = setBookingTargets(direction)
+
+    @Then("reply {int} to booking {string} is whole")
+    fun whole(
+        number: Int,
+        name: String,
+    ) {
+        val reply = assertIs<Reply.Whole>(reply(name, number))
+        assertTrue("\"booking\":\"$name\"" in reply.body, reply.body)
+    }
+
+    @Then("reply {int} to booking {string} has status {int}")
+    fun status(
+        number: Int,
+        name: String,
+        status: Int,
+    ) = assertEquals(status, assertIs<Reply.Whole>(reply(name, number)).status)
+
+    @Then("reply {int} to booking {string} says {string}")
+    fun says(
+        number: Int,
+        name: String,
+        outcome: String,
+    ) = assertEquals(outcome, assertIs<Reply.Refused>(reply(name, number)).outcome)
+
+    @Then("reply {int} to booking {string} is cut or says {string}")
+    fun cutOrSays(
+        number: Int,
+        name: String,
+        outcome: String,
+    ) {
+        val reply = reply(name, number)
+        if (reply !is Reply.Cut) assertEquals(outcome, assertIs<Reply.Refused>(reply).outcome)
+    }
+
+    @Then("every reply to booking {string} is whole")
+    fun allWhole(name: String) {
+        bookings.getValue(name).replies.indices.forEach { whole(it + 1, name) }
+    }
+
+    @Then("every reply to booking {string} is the same answer")
+    fun allSame(name: String) {
+        val bodies =
+            bookings
+                .getValue(name)
+                .replies.indices
+                .map { assertIs<Reply.Whole>(reply(name, it + 1)).body }
+        assertEquals(1, bodies.toSet().size, "$bodies")
+    }
+
+    @Then("booking {string} ran {int} time(s)")
+    fun ran(
+        name: String,
+        times: Int,
+    ) = assertEquals(times, fleet.bookingRuns(name))
+
+    @Then("booking {string} ran at most {int} time(s)")
+    fun ranAtMost(
+        name: String,
+        times: Int,
+    ) = assertTrue(fleet.bookingRuns(name) <= times, "$name ran ${fleet.bookingRuns(name)} times")
+
+    @Then("every booking ran at most once, and none of which \"not run\" was said")
+    fun atMostOnceEach() {
+        bookings.forEach { (name, booking) ->
+            val runs = fleet.bookingRuns(name)
+            assertTrue(runs <= 1, "$name ran $runs times")
+            val replies = booking.replies.map { it.get(REPLY_SECONDS, TimeUnit.SECONDS) }
+            if (replies.any { it is Reply.Refused && it.outcome == "not run" }) assertEquals(0, runs, "$name: $replies")
+        }
+    }
+
+    private fun firstInstance(name: String): String {
+        val ticket = decodeTicketOrNull(checkNotNull(bookings.getValue(name).options.ticket))
+        return checkNotNull(ticket).members.first().instance
+    }
+
+    private fun setBookingTargets(direction: String) {
+        fleet.targets.filter { it.service == PLAIN_SERVICE }.forEach { fleet.setInstance(it.instance, inService = direction == "into") }
+        Thread.sleep(PROPAGATION_MILLIS)
+    }
+
+    private fun send(
+        name: String,
+        options: CallOptions,
+        entry: Int,
+    ) {
+        bookings.getOrPut(name) { Booking(options) }.replies += sendAsync(options, entry)
+    }
+
+    private fun sendAsync(
+        options: CallOptions,
+        entry: Int,
+    ): CompletableFuture<Reply> {
+        val url = Site.entry(entry).url
+        return CompletableFuture.supplyAsync { caller.book(url, options) }
+    }
+
+    private fun reply(
+        name: String,
+        number: Int,
+    ): Reply = bookings.getValue(name).replies[number - 1].get(REPLY_SECONDS, TimeUnit.SECONDS)
+
+    private fun setFaults(json: String) =
+        fleet.targets.filter { it.service == PLAIN_SERVICE }.forEach { fleet.control(it.targetUrl, json) }
+}
+
+private const val PROPAGATION_MILLIS = 1_500L
+
+/** Returns a UUID of version 7. */
+internal fun newKey(): String {
+    val random = UUID.randomUUID()
+    val high = (System.currentTimeMillis() shl 16) or 0x7000L or (random.mostSignificantBits and 0xFFFL)
+    return UUID(high, random.leastSignificantBits).toString()
+}
--- /dev/null
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/ScenariosTest.kt
@@ -0,0 +1,11 @@
+package io.jaybeam.scenarios
+
+import org.junit.platform.suite.api.IncludeEngines
+import org.junit.platform.suite.api.SelectClasspathResource
+import org.junit.platform.suite.api.Suite
+
+/** Runs every feature on real processes. */
+@Suite
+@IncludeEngines("cucumber")
+@SelectClasspathResource("features")
+internal class ScenariosTest
--- /dev/null
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
@@ -0,0 +1,224 @@
+package io.jaybeam.scenarios
+
+import io.cucumber.java.After
+import io.cucumber.java.Scenario
+import io.cucumber.java.en.Given
+import io.cucumber.java.en.Then
+import io.cucumber.java.en.When
+import io.jaybeam.core.config.ConfigChange
+import io.jaybeam.core.config.ConfigItem
+import io.jaybeam.core.config.ConfigItemKind
+import io.jaybeam.core.config.ConfigState
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+private const val SETTLE_MILLIS = 4_000L
+private const val OUTPUT_CHARACTERS = 3_000
+
+/** The site of the scenario that runs now. */
+internal object Site {
+    private var current: Fleet? = null
+
+    val fleet: Fleet get() = checkNotNull(current) { "no site was started" }
+
+    fun start(plan: FleetPlan) {
+        stop()
+        current = Fleet(plan).also { it.start() }
+    }
+
+    fun stop() {
+        current?.close()
+        current = null
+    }
+
+    fun target(instance: String): TargetPair = fleet.targets.first { it.instance == instance }
+
+    fun entry(number: Int): EntryNode = fleet.entries[number - 1]
+}
+
+/** Steps that start sites, and break and mend their processes. */
+internal class SiteSteps {
+    private val fleet get() = Site.fleet
+
+    @Given("a site with {int} entries, {int} model targets and {int} booking targets")
+    fun site(
+        entries: Int,
+        models: Int,
+        bookings: Int,
+    ) = Site.start(FleetPlan(entries = entries, modelTargets = models, plainTargets = bookings))
+
+    @Given("a site with {int} entries, {int} model targets and {int} booking targets whose log keeps {int} records")
+    fun siteWithRetention(
+        entries: Int,
+        models: Int,
+        bookings: Int,
+        records: Int,
+    ) {
+        Site.start(FleetPlan(entries = entries, modelTargets = models, plainTargets = bookings, snapshotIntervalMillis = 300))
+        fleet.control(fleet.logUrl, """{"retainRecords": $records}""")
+    }
+
+    @Given("a site with {int} entries and {int} model targets that bear {int} requests when cold and {int} when warm after {int} ms")
+    fun siteWithColdTargets(
+        entries: Int,
+        models: Int,
+        cold: Int,
+        warm: Int,
+        coldMillis: Int,
+    ) {
+        val profile = """{"coldConcurrency": $cold, "warmConcurrency": $warm, "coldMillis": $coldMillis}"""
+        // The bundle's limits are what operators would set for such targets: at or below what they bear.
+        Site.start(
+            FleetPlan(
+                entries = entries,
+                modelTargets = models,
+                plainTargets = 0,
+                engineProfile = profile,
+                initialConcurrency = cold,
+                fullConcurrency = warm - 2,
+                rampMillis = coldMillis + 1_000L,
+            ),
+        )
+    }
+
+    @After
+    fun stopSite(scenario: Scenario) {
+        if (scenario.isFailed) scenario.log(fleet.outputTails(OUTPUT_CHARACTERS))
+        Site.stop()
+    }
+
+    @When("{int} ms pass")
+    fun pass(millis: Int) = Thread.sleep(millis.toLong())
+
+    @When("the process {string} is killed")
+    fun kill(name: String) = fleet.process(name).kill()
+
+    @When("the process {string} is frozen")
+    fun freeze(name: String) = fleet.process(name).freeze()
+
+    @When("the process {string} is thawed")
+    fun thaw(name: String) = fleet.process(name).thaw()
+
+    @When("the side of {string} is started again")
+    fun startSide(instance: String) {
+        val target = Site.target(instance)
+        fleet.startSide(target)
+        fleet.awaitTrue("side of $instance") { fleet.get("${target.adminUrl}/healthz") != null }
+    }
+
+    @When("the target of {string} is started again")
+    fun startTarget(instance: String) = fleet.startTarget(Site.target(instance))
+
+    @When("entry {int} is started again")
+    fun startEntry(number: Int) {
+        fleet.startEntry(Site.entry(number))
+        fleet.awaitReady(Site.entry(number))
+    }
+
+    @When("the log is out")
+    fun logOut() = fleet.control(fleet.logUrl, """{"outage": true}""")
+
+    @When("the log is back")
+    fun logBack() = fleet.control(fleet.logUrl, "{}")
+
+    @When("the log takes {int} ms longer for each call")
+    fun logSlow(millis: Int) = fleet.control(fleet.logUrl, """{"slowMillis": $millis}""")
+
+    @When("the log loses the answers of the next {int} appends")
+    fun logLoses(count: Int) = fleet.control(fleet.logUrl, """{"loseAnswers": $count}""")
+
+    @When("the process on {string} is cut off from the log")
+    fun cutFromLog(instance: String) = fleet.logRelay(instance).cut()
+
+    @When("the process on {string} reaches the log again")
+    fun healLog(instance: String) = fleet.logRelay(instance).heal()
+
+    @When("open connections to the side of {string} go silent")
+    fun silence(instance: String) = fleet.linkRelay(Site.target(instance)).silenceOpenConnections()
+
+    @When("open connections to the side of {string} are reset")
+    fun reset(instance: String) = fleet.linkRelay(Site.target(instance)).resetOpenConnections()
+
+    @When("operator {string} takes data centre {string} {word}")
+    fun operate(
+        operator: String,
+        name: String,
+        direction: String,
+    ) {
+        val result = fleet.operate("datacentre", direction, name, "--operator", fleet.operatorFile(operator))
+        assertEquals(0, result.exitCode, result.text)
+    }
+
+    @When("operators take data centre {string} out and in together from the same version")
+    fun race(name: String) {
+        val item = ConfigItem(ConfigItemKind.DATA_CENTRE, name)
+        val base = ConfigState().versionOf(item)
+        fleet.append(ConfigChange.SetDataCentre("race-out", base, "ann", name, inService = false))
+        fleet.append(ConfigChange.SetDataCentre("race-in", base, "ben", name, inService = true))
+    }
+
+    @When("the change of data centre {string} that lost is appended again")
+    fun appendLateAgain(name: String) {
+        fleet.append(ConfigChange.SetDataCentre("race-in", ConfigState().versionOf(ConfigItem(ConfigItemKind.DATA_CENTRE, name)), "ben", name, true))
+    }
+
+    @When("{int} changes of instance {string} are appended")
+    fun manyChanges(
+        count: Int,
+        instance: String,
+    ) {
+        repeat(count) {
+            val version = fleet.itemVersion(ConfigItem(ConfigItemKind.INSTANCE, instance))
+            fleet.append(ConfigChange.SetInstance("many-$it", version, "ann", instance, inService = it % 2 == 1))
+            Thread.sleep(50)
+        }
+    }
+
+    @When("the instance list calls {string} leaving")
+    fun leaving(instance: String) {
+        Site.target(instance).phase = "LEAVING"
+        fleet.publishInstances()
+    }
+
+    @Then("within 4 s data centre {string} is out in every running process")
+    fun outEverywhere(name: String) =
+        fleet.awaitTrue("data centre $name out everywhere", SETTLE_MILLIS) {
+            fleet.dumps().all { it.contains("\"dataCentresOut\":[\"$name\"]") }
+        }
+
+    @Then("within 4 s every running process has the same configuration")
+    fun sameEverywhere() =
+        fleet.awaitTrue("the same configuration everywhere", SETTLE_MILLIS) {
+            fleet.dumps().map { Regex("\"configVersion\":(-?\\d+)").find(it)?.value }.toSet().size == 1
+        }
+
+    @Then("data centre {string} is still out in every running process after {int} ms")
+    fun stillOut(
+        name: String,
+        millis: Int,
+    ) {
+        val until = System.nanoTime() + millis * 1_000_000L
+        while (System.nanoTime() < until) {
+            fleet.dumps().forEach { assertTrue(it.contains("\"dataCentresOut\":[\"$name\"]"), it) }
+            Thread.sleep(100)
+        }
+    }
+
+    @Then("the process {string} still runs")
+    fun stillRuns(name: String) = assertTrue(fleet.isRunning(name), "$name ended: ${fleet.process(name).outputText().takeLast(400)}")
+
+    @Then("the process {string} has ended with exit code {int}")
+    fun ended(
+        name: String,
+        code: Int,
+    ) {
+        assertTrue(fleet.process(name).awaitExit(20_000), "$name still runs")
+        assertEquals(code, fleet.process(name).exitCode, fleet.process(name).outputText().takeLast(400))
+    }
+
+    @When("the process {string} is asked to stop")
+    fun terminate(name: String) = fleet.process(name).terminate()
+}
+
+/** Returns the state dump of every entry and side that answers. */
+internal fun Fleet.dumps(): List<String> = (entries.map { it.adminUrl } + targets.map { it.adminUrl }).mapNotNull { get("$it/dump") }
--- a/side/src/main/kotlin/io/jaybeam/side/AnswerBuffer.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/AnswerBuffer.kt
@@ -28,8 +28,8 @@
     ) : AnswerState()
 }
 
-private const val WINDOW_CHUNKS = 64
-private const val MAX_UNACKED_BYTES = 262_144
+private const val WINDOW_CHUNKS = 32
+private const val MAX_UNACKED_BYTES = 131_072
 private const val MAX_RETAINED_BYTES = 1_048_576
 private const val STALL_CHECK_MILLIS = 200L
 
@@ -55,6 +55,8 @@
     private var firstKept = 0
     private var keptBytes = 0L
     private var retained = retain
+    private var acknowledgedWhole = false
+    private var brokenTold = false
     private var status = 0
     private var headers = emptyList<HeaderField>()
 
@@ -68,11 +70,19 @@
     /** Whether an entry relays this answer now. */
     val hasSubscribers: Boolean get() = lock.withLock { subscribers.isNotEmpty() }
 
-    /** Whether the answer is over and every relaying entry has all of it. */
+    /**
+     * Whether the answer is over, some entry has said that it has all of it, and none that relays it lacks any.
+     *
+     * An answer that ends while no entry relays it is not delivered: its entry may be about to attach again.
+     */
     val delivered: Boolean
         get() =
             lock.withLock {
-                state !is AnswerState.Open && subscribers.all { it.endSent && (state is AnswerState.Broken || it.acked >= count) }
+                when (state) {
+                    is AnswerState.Open -> false
+                    is AnswerState.Whole -> acknowledgedWhole && subscribers.all { it.acked >= count }
+                    is AnswerState.Broken -> brokenTold
+                }
             }
 
     private val count: Int get() = firstKept + chunks.size
@@ -98,6 +108,7 @@
         lock.withLock {
             val subscriber = subscribers.firstOrNull { it.requestId == requestId && it.attemptId == attemptId } ?: return@withLock
             subscriber.acked = maxOf(subscriber.acked, minOf(chunkCount, subscriber.next))
+        if (state is AnswerState.Whole && subscriber.endSent && chunkCount >= count) acknowledgedWhole = true
             trim()
             pump()
             acknowledged.signalAll()
@@ -193,7 +204,15 @@
             when (val end = state) {
                 is AnswerState.Open -> false
                 is AnswerState.Whole -> subscriber.link.send(Frame.End(subscriber.requestId, subscriber.attemptId, end.chunkCount))
-                is AnswerState.Broken -> subscriber.link.send(Frame.Broken(subscriber.requestId, subscriber.attemptId, end.detail))
+                is AnswerState.Broken -> tellBroken(subscriber, end)
             }
     }
+
+    private fun tellBroken(
+        subscriber: Subscriber,
+        end: AnswerState.Broken,
+    ): Boolean {
+        brokenTold = subscriber.link.send(Frame.Broken(subscriber.requestId, subscriber.attemptId, end.detail)) || brokenTold
+        return brokenTold
+    }
 }
--- a/side/src/main/kotlin/io/jaybeam/side/Main.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/Main.kt
@@ -3,19 +3,15 @@
  */
 package io.jaybeam.side
 
-import io.jaybeam.platform.settings.Termination
-import io.jaybeam.platform.settings.readSettings
+import io.jaybeam.platform.settings.runProcess
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
 import java.nio.file.Path
 import java.util.concurrent.Callable
-import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 import kotlin.time.Clock
 
-private const val EXIT_BAD_SETTINGS = 2
-
 @Command(
     name = "jaybeam-side",
     mixinStandardHelpOptions = true,
@@ -29,23 +25,7 @@
     @Option(names = ["--check"], description = ["Check the settings and exit"])
     private var checkOnly: Boolean = false
 
-    override fun call(): Int =
-        readSettings(settingsPath) { sideSettings() }.fold(
-            { faults ->
-                faults.forEach { System.err.println("jaybeam-side: settings: $it") }
-                EXIT_BAD_SETTINGS
-            },
-            { settings -> if (checkOnly) 0 else serve(settings) },
-        )
-
-    private fun serve(settings: SideSettings): Int {
-        val termination = Termination().also { it.install() }
-        val process = SideProcess(settings, Clock.System)
-        process.start()
-        termination.onShutdown(process::stop)
-        CountDownLatch(1).await()
-        return 0
-    }
+    override fun call(): Int = runProcess(settingsPath, checkOnly, { sideSettings() }) { SideProcess(it, Clock.System) }
 }
 
 /** Starts a side process. */
--- a/side/src/main/kotlin/io/jaybeam/side/ServedRequest.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/ServedRequest.kt
@@ -28,6 +28,10 @@
     var overAtMillis = 0L
     var detachedAtMillis: Long? = null
 
+    /** Life of the target that runs it. */
+    @Volatile
+    var targetIncarnation: String? = null
+
     @Volatile
     var call: TargetCall? = null
 }
--- a/side/src/main/kotlin/io/jaybeam/side/SideProcess.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/SideProcess.kt
@@ -3,6 +3,8 @@
  */
 package io.jaybeam.side
 
+import io.jaybeam.core.config.Bundle
+import io.jaybeam.core.config.ServiceKind
 import io.jaybeam.core.quarantine.CrashLedger
 import io.jaybeam.core.ticket.TargetIncarnation
 import io.jaybeam.platform.config.ConfigController
@@ -13,6 +15,7 @@
 import io.jaybeam.platform.observe.LogEvent
 import io.jaybeam.platform.observe.LogField
 import io.jaybeam.platform.observe.metricsRegistry
+import io.jaybeam.platform.settings.ServingProcess
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkHandler
@@ -38,7 +41,8 @@
 internal class SideProcess(
     private val settings: SideSettings,
     private val clock: Clock,
-) : LinkHandler {
+) : ServingProcess,
+    LinkHandler {
     private val events = EventLog(settings.common.instance, clock)
     private val self = TargetIncarnation(settings.common.instance, UUID.randomUUID().toString())
     private val links = CopyOnWriteArraySet<Link>()
@@ -50,19 +54,22 @@
     private val config =
         ConfigController(LogClient(settings.common.platform.logUrl), settings.common.verifier(), events, snapshotIntervalMillis = null)
     private val exchange = ConfigExchange(config)
+    private val maps =
+        MapController(self, RankGroupClient(settings.target.url), LogClient(settings.common.platform.logUrl), ::bundle, events)
     private lateinit var admin: AdminServer
 
     @Volatile
     private var stopping = false
 
     /** Starts every duty. */
-    fun start() {
+    override fun start() {
         events.write(LogEvent.PROCESS_STARTED, LogField("incarnation", self.incarnation), LogField("service", settings.target.service))
         registerMetrics()
         work.start()
         config.onChange { work.tell(WorkMessage.Configured(it)) }
         config.start()
         admin = AdminServer(settings.common.host, settings.common.adminPort, registry, ::ready, ::dump)
+        if (settings.target.kind == ServiceKind.MODEL) maps.start()
         repeat("target-health", HEALTH_MILLIS) { work.tell(WorkMessage.Health(target.healthOrNull())) }
         repeat("heartbeat", HEARTBEAT_MILLIS, ::beat)
         runtime.listen(settings.common.host, settings.linkPort) { this }
@@ -70,13 +77,14 @@
     }
 
     /** Takes no new work, waits for all requests to end and stops. */
-    fun stop() {
+    override fun stop() {
         events.write(LogEvent.PROCESS_STOPPING)
         stopping = true
         work.tell(WorkMessage.Leave)
         do Thread.sleep(DRAIN_POLL_MILLIS) while (!work.idle)
         Thread.sleep(LINGER_MILLIS)
         links.forEach { it.close("the side process stops") }
+        maps.close()
         config.close()
         runtime.close()
         events.write(LogEvent.PROCESS_STOPPED)
@@ -137,6 +145,8 @@
 
     private fun ready() = !stopping && config.stateOrNull() != null && work.snapshot.targetUp
 
+    private fun bundle(): Bundle? = config.stateOrNull()?.effective()?.bundle
+
     private fun registerMetrics() {
         Gauge.builder("jaybeam.side.in.flight") { work.snapshot.inFlight }.register(registry)
         Gauge.builder("jaybeam.side.queued") { work.snapshot.queued }.register(registry)
@@ -164,6 +174,7 @@
                 "leaving" to JsonPrimitive(now.leaving),
                 "takesWork" to JsonPrimitive(now.inService),
                 "targetUp" to JsonPrimitive(now.targetUp),
+                "expertMapVersion" to JsonPrimitive(maps.settledVersion),
                 "links" to JsonPrimitive(links.size),
                 "crashSuspects" to JsonPrimitive(crashes.size()),
             ),
--- a/side/src/main/kotlin/io/jaybeam/side/SideSettings.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/SideSettings.kt
@@ -29,6 +29,11 @@
     val retainedAnswerBytes: Long,
 )
 
+private const val MIN_WINDOW_MILLIS = 1_000L
+private const val MAX_WINDOW_MILLIS = 86_400_000L
+private const val MAX_LEDGER_CAPACITY = 10_000_000
+private const val MAX_QUEUE_CAPACITY = 100_000
+private const val MAX_RETAINED_BYTES = 1_073_741_824L
 private const val DEFAULT_TICKET_WINDOW_MILLIS = 600_000L
 private const val DEFAULT_LEDGER_CAPACITY = 50_000
 private const val DEFAULT_QUEUE_CAPACITY = 256
@@ -39,10 +44,10 @@
         common = commonSettings(),
         linkPort = int("linkPort", 0..MAX_PORT),
         target = child("target") { targetSettings() } ?: TargetSettings("", "", ServiceKind.PLAIN, false),
-        ticketWindowMillis = long("ticketWindowMillis", 1_000L..86_400_000L, DEFAULT_TICKET_WINDOW_MILLIS),
-        ledgerCapacity = int("ledgerCapacity", 1..10_000_000, DEFAULT_LEDGER_CAPACITY),
-        queueCapacity = int("queueCapacity", 1..100_000, DEFAULT_QUEUE_CAPACITY),
-        retainedAnswerBytes = long("retainedAnswerBytes", 0L..1_073_741_824L, DEFAULT_RETAINED_BYTES),
+        ticketWindowMillis = long("ticketWindowMillis", MIN_WINDOW_MILLIS..MAX_WINDOW_MILLIS, DEFAULT_TICKET_WINDOW_MILLIS),
+        ledgerCapacity = int("ledgerCapacity", 1..MAX_LEDGER_CAPACITY, DEFAULT_LEDGER_CAPACITY),
+        queueCapacity = int("queueCapacity", 1..MAX_QUEUE_CAPACITY, DEFAULT_QUEUE_CAPACITY),
+        retainedAnswerBytes = long("retainedAnswerBytes", 0L..MAX_RETAINED_BYTES, DEFAULT_RETAINED_BYTES),
     )
 
 private fun JsonShape.targetSettings(): TargetSettings {
--- a/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
@@ -48,7 +48,7 @@
 private val hopByHop =
     setOf("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "host", "content-length", "proxy-connection")
 private val healthJson = Json { ignoreUnknownKeys = true }
-private const val READ_BYTES = 8_192
+private const val READ_BYTES = 4_096
 private const val HEALTH_TIMEOUT_MILLIS = 500L
 
 /** Calls the target at [baseUrl]. Calls block. */
--- a/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
@@ -11,6 +11,7 @@
 import io.jaybeam.core.config.ConfigState
 import io.jaybeam.core.config.FreshTargetLimits
 import io.jaybeam.core.config.PriceTier
+import io.jaybeam.core.config.ServiceKind
 import io.jaybeam.core.config.TierClass
 import io.jaybeam.core.ticket.LedgerVerdict
 import io.jaybeam.core.ticket.RefusalReason
@@ -26,46 +27,6 @@
 import java.util.concurrent.Executors
 import kotlin.time.Clock
 
-/** What the work thread is told. */
-internal sealed class WorkMessage {
-    data class Arrive(
-        val link: Link,
-        val execute: Frame.Execute,
-    ) : WorkMessage()
-
-    data class Cancel(
-        val cancel: Frame.Cancel,
-    ) : WorkMessage()
-
-    data class Ack(
-        val ack: Frame.Ack,
-    ) : WorkMessage()
-
-    data class LinkClosed(
-        val link: Link,
-    ) : WorkMessage()
-
-    data class Step(
-        val stepMillis: Double,
-    ) : WorkMessage()
-
-    data class Finished(
-        val request: ServedRequest,
-        val end: CallEnd,
-        val targetDown: Boolean,
-    ) : WorkMessage()
-
-    data class Health(
-        val health: TargetHealth?,
-    ) : WorkMessage()
-
-    data class Configured(
-        val state: ConfigState,
-    ) : WorkMessage()
-
-    data object Leave : WorkMessage()
-}
-
 /** A moment's figures, for the dump and for load reports. */
 internal data class WorkSnapshot(
     val inFlight: Int = 0,
@@ -81,9 +42,9 @@
 private const val RING_CAPACITY = 16_384
 private const val TICK_MILLIS = 10L
 private const val MAX_SKEW_MILLIS = 5_000L
-private const val KEEP_ANSWER_MILLIS = 5_000L
-private const val DETACHED_MILLIS = 5_000L
 private const val RETRY_AFTER_MILLIS = 1_000L
+private const val NANOS_PER_MILLI = 1_000_000.0
+private const val NANOS_PER_MILLI_LONG = 1_000_000L
 
 /** Admits, queues, runs and remembers requests. */
 internal class WorkController(
@@ -99,17 +60,13 @@
     private val ledger = RequestLedger(self, settings.ticketWindowMillis, MAX_SKEW_MILLIS, settings.ledgerCapacity)
     private val admission = TargetAdmission(FreshTargetLimits(1, 1, 0), monotonicMillis())
     private val queue = TierQueue<ServedRequest>(settings.queueCapacity)
-    private val requests = LinkedHashMap<String, ServedRequest>()
-    private val byRequestId = HashMap<String, ServedRequest>()
-    private val live = LinkedHashSet<ServedRequest>()
-    private val retired = LinkedHashSet<ServedRequest>()
-    private var queuedSuspects = 0
-    private var heldBytes = 0L
+    private val store = RequestStore(settings.retainedAnswerBytes)
+    private val watch = TargetWatch()
+    private val stepsTogether = settings.target.kind == ServiceKind.MODEL
     private var config: ConfigState? = null
     private var leaving = false
-    private var targetIncarnation: String? = null
-    private var targetWarm = true
     private var crashCount = 0
+    private var queuedSuspects = 0
     private var suspectRunning = false
 
     /** The latest figures. */
@@ -131,15 +88,18 @@
         runners.shutdownNow()
     }
 
+    /** Returns the frame that tells entries how loaded the target is. */
+    fun loadReport(): Frame.Load {
+        val now = snapshot
+        return Frame.Load(now.inFlight, now.queued, now.limit, now.leaving || !now.inService)
+    }
+
     private fun handle(message: WorkMessage) {
         when (message) {
             is WorkMessage.Arrive -> arrive(message.link, message.execute)
             is WorkMessage.Cancel -> cancel(message.cancel)
-            is WorkMessage.Ack ->
-                find(
-                    message.ack.requestId,
-                )?.answer?.acknowledge(message.ack.requestId, message.ack.attemptId, message.ack.chunkCount)
-            is WorkMessage.LinkClosed -> detach(message.link)
+            is WorkMessage.Ack -> acknowledge(message.ack)
+            is WorkMessage.LinkClosed -> store.detach(message.link, monotonicMillis())
             is WorkMessage.Step -> admission.onStep(message.stepMillis, monotonicMillis())
             is WorkMessage.Finished -> finish(message)
             is WorkMessage.Health -> health(message.health)
@@ -150,30 +110,44 @@
         publish()
     }
 
+    private fun tick() {
+        val now = monotonicMillis()
+        queue.removeOverdue(now).forEach { withdraw(it.value, RefusalReason.WAITED_TOO_LONG) }
+        ledger.expire(clock.now().toEpochMilliseconds()).forEach { id ->
+            store.findByKey(id)?.takeIf { it.stage == Stage.OVER }?.let(store::forget)
+        }
+        store.expire(now).forEach(::giveUp)
+        startQueued()
+        publish()
+    }
+
     private fun arrive(link: Link, execute: Frame.Execute) {
         val ticket = execute.ticket
-        val key = ticket?.id ?: execute.requestId
-        if (ticket != null) {
-            when (val verdict = ledger.offer(ticket, execute.fingerprint, clock.now().toEpochMilliseconds())) {
-                is LedgerVerdict.First -> Unit
-                is LedgerVerdict.AlreadyHere -> return attach(link, execute, key)
-                is LedgerVerdict.RefusedForGood -> return refuse(link, execute, verdict.reason)
-                is LedgerVerdict.Undecided -> return send(link, Frame.Undecided(execute.requestId, execute.attemptId, verdict.problem))
-            }
-        } else if (key in requests) {
-            return attach(link, execute, key)
+        if (ticket == null) {
+            arriveRepeatable(link, execute)
+            return
         }
-        if (execute.attachOnly &&
-            ticket == null
-        ) {
-            return send(link, Frame.Broken(execute.requestId, execute.attemptId, "the request is not held here"))
+        when (val verdict = ledger.offer(ticket, execute.fingerprint, clock.now().toEpochMilliseconds())) {
+            is LedgerVerdict.First -> decide(link, execute, ticket.id)
+            is LedgerVerdict.AlreadyHere -> store.attach(link, execute, ticket.id)
+            is LedgerVerdict.RefusedForGood -> refuse(link, execute, verdict.reason)
+            is LedgerVerdict.Undecided -> link.send(Frame.Undecided(execute.requestId, execute.attemptId, verdict.problem))
         }
-        val reason = refusalReason()
-        if (reason != null) {
-            if (ticket != null) ledger.refuse(ticket, execute.fingerprint, reason)
-            return refuse(link, execute, reason)
+    }
+
+    private fun arriveRepeatable(link: Link, execute: Frame.Execute) {
+        when {
+            execute.requestId in store -> store.attach(link, execute, execute.requestId)
+            execute.attachOnly -> link.send(Frame.Broken(execute.requestId, execute.attemptId, "the request is not held here"))
+            else -> decide(link, execute, execute.requestId)
         }
-        admit(link, execute, key)
+    }
+
+    private fun decide(link: Link, execute: Frame.Execute, key: String) {
+        val reason = refusalReason()
+        if (reason == null) return admit(link, execute, key)
+        execute.ticket?.let { ledger.refuse(it, execute.fingerprint, reason) }
+        refuse(link, execute, reason)
     }
 
     private fun refusalReason(): RefusalReason? {
@@ -182,7 +156,7 @@
             leaving -> RefusalReason.LEAVING
             state == null -> RefusalReason.NOT_READY
             !state.effective().inService(settings.common.dataCentre, self.instance) -> RefusalReason.OUT_OF_SERVICE
-            targetIncarnation == null -> RefusalReason.TARGET_DOWN
+            watch.incarnation == null -> RefusalReason.TARGET_DOWN
             else -> null
         }
     }
@@ -190,8 +164,8 @@
     private fun admit(link: Link, execute: Frame.Execute, key: String) {
         val request = ServedRequest(key, execute, monotonicMillis())
         execute.ticket?.let { ledger.accept(it, execute.fingerprint) }
-        requests[key] = request
-        attach(link, execute, key)
+        store.add(request)
+        store.attach(link, execute, key)
         if (execute.suspect) queuedSuspects += 1
         when (val verdict = queue.offer(Waiting(request, execute.organisation, tierOf(execute), request.arrivedAtMillis))) {
             is QueueVerdict.Queued -> Unit
@@ -205,23 +179,10 @@
         return tier ?: PriceTier("default", TierClass.URGENT, execute.deadlineMillis, 0)
     }
 
-    private fun attach(link: Link, execute: Frame.Execute, key: String) {
-        val request = requests[key]
-        if (request == null) {
-            send(link, Frame.Broken(execute.requestId, execute.attemptId, "the request ran and its answer is no longer held"))
-            return
-        }
-        byRequestId[execute.requestId] = request
-        request.requestIds += execute.requestId
-        live += request
-        request.detachedAtMillis = null
-        request.answer.subscribe(link, execute.requestId, execute.attemptId, execute.fromChunk)
-    }
-
     private fun startQueued() {
         while (queue.size > 0 && !suspectRunning) {
             val now = monotonicMillis()
-            if (!mayStartOrdinary()) return startSuspect(now)
+            if (queuedSuspects > 0) return startSuspect(now)
             if (!admission.tryStart(now)) return
             val next = queue.poll(now) ?: return admission.finish()
             run(next.value)
@@ -229,8 +190,6 @@
     }
 
     /** A suspect waits for the target to become empty, so nothing else starts while one waits. */
-    private fun mayStartOrdinary() = queuedSuspects == 0
-
     private fun startSuspect(now: Long) {
         if (!admission.tryStart(now, exclusive = true)) return
         val suspect = queue.remove { it.execute.suspect }
@@ -239,6 +198,7 @@
 
     private fun run(request: ServedRequest) {
         request.stage = Stage.RUNNING
+        request.targetIncarnation = watch.incarnation
         if (request.execute.suspect) queuedSuspects -= 1
         suspectRunning = request.execute.suspect
         val call = target.prepare(request.execute)
@@ -255,7 +215,7 @@
                     onHead = request.answer::head,
                     onBytes = { bytes ->
                         val now = System.nanoTime()
-                        if (lastNanos != 0L) duty.offer(WorkMessage.Step((now - lastNanos) / NANOS_PER_MILLI))
+                        if (stepsTogether && lastNanos != 0L) duty.offer(WorkMessage.Step((now - lastNanos) / NANOS_PER_MILLI))
                         request.answer.append(bytes)
                         lastNanos = System.nanoTime()
                     },
@@ -263,7 +223,7 @@
             } catch (e: Exception) {
                 CallEnd.Lost(e.toString())
             }
-        val down = end !is CallEnd.Whole && target.healthOrNull()?.incarnation != targetIncarnation
+        val down = end !is CallEnd.Whole && target.healthOrNull()?.incarnation != request.targetIncarnation
         duty.put(WorkMessage.Finished(request, end, down))
     }
 
@@ -271,7 +231,7 @@
         val request = message.request
         admission.finish()
         if (request.execute.suspect) suspectRunning = false
-        if (message.targetDown && targetIncarnation != null) crash(request)
+        if (message.targetDown && watch.incarnation == request.targetIncarnation) crash()
         request.stage = Stage.OVER
         request.overAtMillis = monotonicMillis()
         when (val end = message.end) {
@@ -281,24 +241,50 @@
         }
     }
 
-    private fun crash(first: ServedRequest) {
+    /** Tells everyone which requests were on the target when it died, before any of them is answered. */
+    private fun crash() {
         crashCount += 1
-        targetIncarnation = null
-        val running = live.filter { it.stage == Stage.RUNNING || it === first }
-        val fingerprints = running.map { it.execute.fingerprint }.distinct()
+        watch.onCrash()
+        val fingerprints = store.running.map { it.execute.fingerprint }.distinct()
         events.write(LogEvent.TARGET_CRASHED, LogField("crash", "$crashCount"), LogField("inFlight", "${fingerprints.size}"))
         broadcast(Frame.Crash("${self.incarnation}/$crashCount", fingerprints))
         admission.onCold(monotonicMillis())
     }
 
+    private fun health(health: TargetHealth?) {
+        val before = watch.incarnation
+        if (health?.warm == true) admission.onWarmReport(monotonicMillis())
+        when (val change = watch.observe(health, store.running.isNotEmpty())) {
+            is TargetChange.None -> {
+                Unit
+            }
+
+            is TargetChange.Started -> {
+                if (change.crashed && before != null) crash()
+                watch.observe(health, hasRunning = false)
+                admission.onCold(monotonicMillis())
+            }
+
+            is TargetChange.FellCold -> {
+                events.write(LogEvent.TARGET_COLD, LogField("source", "target's report"))
+                admission.onCold(monotonicMillis())
+            }
+        }
+    }
+
     private fun withdraw(request: ServedRequest, reason: RefusalReason) {
         request.execute.ticket?.let { ledger.withdraw(it, reason) }
         request.answer.refuse(reason, RETRY_AFTER_MILLIS)
         forget(request)
     }
 
+    private fun forget(request: ServedRequest) {
+        if (request.execute.suspect && request.stage == Stage.QUEUED) queuedSuspects -= 1
+        store.forget(request)
+    }
+
     private fun cancel(cancel: Frame.Cancel) {
-        val request = find(cancel.requestId) ?: return
+        val request = store.findByRequestId(cancel.requestId) ?: return
         request.answer.unsubscribe(cancel.requestId, cancel.attemptId)
         if (request.execute.ticket != null || request.answer.hasSubscribers) return
         giveUp(request)
@@ -321,31 +307,8 @@
         }
     }
 
-    private fun detach(link: Link) {
-        val now = monotonicMillis()
-        live.forEach { request ->
-            request.answer.unsubscribe(link)
-            if (!request.answer.hasSubscribers) request.detachedAtMillis = request.detachedAtMillis ?: now
-        }
-    }
-
-    private fun health(health: TargetHealth?) {
-        val now = monotonicMillis()
-        if (health == null) {
-            if (live.none { it.stage == Stage.RUNNING }) targetIncarnation = null
-            return
-        }
-        if (health.incarnation != targetIncarnation) {
-            val running = live.firstOrNull { it.stage == Stage.RUNNING }
-            if (targetIncarnation != null && running != null) crash(running)
-            targetIncarnation = health.incarnation
-            admission.onCold(now)
-        }
-        if (targetWarm && !health.warm) {
-            events.write(LogEvent.TARGET_COLD, LogField("source", "target's report"))
-            admission.onCold(now)
-        }
-        targetWarm = health.warm
+    private fun acknowledge(ack: Frame.Ack) {
+        store.findByRequestId(ack.requestId)?.answer?.acknowledge(ack.requestId, ack.attemptId, ack.chunkCount)
     }
 
     private fun configure(state: ConfigState) {
@@ -358,6 +321,7 @@
     private fun leave() {
         leaving = true
         refuseQueued(RefusalReason.LEAVING)
+        publish()
         broadcast(loadReport())
     }
 
@@ -365,88 +329,24 @@
         queue.drain().forEach { withdraw(it.value, reason) }
     }
 
-    private fun tick() {
-        val now = monotonicMillis()
-        queue.removeOverdue(now).forEach { withdraw(it.value, RefusalReason.WAITED_TOO_LONG) }
-        expire(now)
-        startQueued()
-        publish()
-    }
-
-    private fun expire(now: Long) {
-        ledger.expire(clock.now().toEpochMilliseconds()).forEach { id -> requests[id]?.takeIf { it.stage == Stage.OVER }?.let(::forget) }
-        live.filter { it.isDone(now) }.forEach(::retire)
-        live.filter { it.isDetachedTooLong(now) }.forEach(::giveUp)
-        discardOldAnswers()
-    }
-
-    private fun ServedRequest.isDone(now: Long) = stage == Stage.OVER && (answer.delivered || now - overAtMillis > KEEP_ANSWER_MILLIS)
-
-    private fun ServedRequest.isDetachedTooLong(now: Long): Boolean {
-        val detachedAt = detachedAtMillis ?: return false
-        return execute.ticket == null && stage != Stage.OVER && now - detachedAt > DETACHED_MILLIS
-    }
-
-    /** Keeps the answers to tickets for resends; all else is forgotten. */
-    private fun retire(request: ServedRequest) {
-        live -= request
-        if (request.execute.ticket == null) return forget(request)
-        if (retired.add(request)) heldBytes += request.answer.heldBytes
-    }
-
-    private fun discardOldAnswers() {
-        val oldest = retired.iterator()
-        while (heldBytes > settings.retainedAnswerBytes && oldest.hasNext()) {
-            val request = oldest.next()
-            if (request in live) continue
-            heldBytes -= request.answer.heldBytes
-            request.answer.discardBody()
-            oldest.remove()
-        }
-    }
-
-    private fun forget(request: ServedRequest) {
-        if (request.execute.suspect && request.stage == Stage.QUEUED) queuedSuspects -= 1
-        requests.remove(request.key)
-        request.requestIds.forEach(byRequestId::remove)
-        live -= request
-        if (retired.remove(request)) heldBytes -= request.answer.heldBytes
-    }
-
-    private fun find(requestId: String): ServedRequest? = byRequestId[requestId]
-
-    private fun refuse(link: Link, execute: Frame.Execute, reason: RefusalReason) =
-        send(link, Frame.Refused(execute.requestId, execute.attemptId, reason, RETRY_AFTER_MILLIS))
-
-    private fun send(link: Link, frame: Frame) {
-        link.send(frame)
-    }
-
-    /** Returns the frame that tells entries how loaded the target is. */
-    fun loadReport(): Frame.Load {
-        val now = snapshot
-        return Frame.Load(now.inFlight, now.queued, now.limit, leaving || !now.inService)
+    private fun refuse(link: Link, execute: Frame.Execute, reason: RefusalReason) {
+        link.send(Frame.Refused(execute.requestId, execute.attemptId, reason, RETRY_AFTER_MILLIS))
     }
 
     private fun publish() {
-        val now = monotonicMillis()
-        val inService = config?.effective()?.inService(settings.common.dataCentre, self.instance) == true
         snapshot =
             WorkSnapshot(
                 inFlight = admission.inFlight,
                 queued = queue.size,
-                limit = admission.limitAt(now),
+                limit = admission.limitAt(monotonicMillis()),
                 tickets = ledger.size,
-                kept = requests.size,
+                kept = store.size,
                 leaving = leaving,
-                inService = inService && refusalReason() == null,
-                targetUp = targetIncarnation != null,
+                inService = refusalReason() == null,
+                targetUp = watch.incarnation != null,
             )
-        idle = live.isEmpty()
+        idle = store.isIdle
     }
 }
 
-private const val NANOS_PER_MILLI = 1_000_000.0
-private const val NANOS_PER_MILLI_LONG = 1_000_000L
-
 internal fun monotonicMillis(): Long = System.nanoTime() / NANOS_PER_MILLI_LONG
--- a/standins/src/main/kotlin/io/jaybeam/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/io/jaybeam/standins/EngineStandIn.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.intOrNull
+import java.net.URI
 import java.util.UUID
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -35,6 +36,22 @@
     val ranks: Int = 4,
     val fenced: Boolean = true,
     val cachedPrefixes: Int = 64,
+    val experts: Int = 8,
+    val slotsPerRank: Int = 3,
+    val bytesPerExpert: Long = 1_000_000,
+    val weightsUrl: String? = null,
+)
+
+@Serializable
+private data class ExpertReport(
+    val loadByExpert: List<Double>,
+    val speedByRank: List<Double>,
+    val bytesPerExpert: Long,
+)
+
+@Serializable
+private data class ExpertLoad(
+    val loadByExpert: List<Double>,
 )
 
 @Serializable
@@ -66,7 +83,11 @@
     private val profile: EngineProfile,
 ) {
     private val incarnation = UUID.randomUUID().toString()
-    private val group = RankGroup(profile.ranks, incarnation, profile.fenced)
+    private val initialMap = List(profile.ranks * profile.slotsPerRank) { it % profile.experts }
+    private val group = RankGroup(profile.ranks, incarnation, profile.fenced, initialMap, ::loadWeights)
+
+    @Volatile
+    private var loadByExpert = List(profile.experts) { 1.0 }
     private val inFlight = AtomicInteger()
     private val maxInFlight = AtomicInteger()
     private val requests = AtomicInteger()
@@ -88,6 +109,8 @@
             ApiBuilder.get("/health") { it.answer(StandInHealth.serializer(), StandInHealth(incarnation, reportedWarm())) }
             ApiBuilder.post("/control") { fault(it.read(EngineFault.serializer())) }
             ApiBuilder.get("/control/report") { it.answer(EngineReport.serializer(), report()) }
+            ApiBuilder.get("/experts") { it.answer(ExpertReport.serializer(), experts()) }
+            ApiBuilder.post("/control/experts") { loadByExpert = it.read(ExpertLoad.serializer()).loadByExpert }
             ApiBuilder.get("/ranks") { it.answer(GroupState.serializer(), group.state()) }
             ApiBuilder.post("/ranks/{rank}/prepare") { order(it, group::prepare) }
             ApiBuilder.post("/ranks/{rank}/hold") { order(it, group::hold) }
@@ -139,6 +162,7 @@
     private fun stream(context: Context, tokens: Int) {
         val response = context.res()
         response.contentType = "text/event-stream"
+        response.outputStream.write("data: {\"echo\":${context.body().length},\"hash\":${context.body().hashCode()}}\n\n".encodeToByteArray())
         var seen = group.stepCount
         repeat(tokens) { index ->
             seen = group.awaitStep(seen)
@@ -180,6 +204,16 @@
         }
     }
 
+    private fun experts(): ExpertReport {
+        val speeds = group.state().lastStepRankMillis.map { 1.0 / it }
+        return ExpertReport(loadByExpert, speeds, profile.bytesPerExpert)
+    }
+
+    private fun loadWeights(slots: Int) {
+        val url = profile.weightsUrl ?: return
+        URI("$url/weights/slots?bytes=${slots * profile.bytesPerExpert}").toURL().openStream().use { it.readAllBytes() }
+    }
+
     private fun report() =
         EngineReport(requests.get(), maxInFlight.get(), inFlight.get(), cacheHits.get(), group.stepCount, group.state().mixedSteps)
 
--- a/standins/src/main/kotlin/io/jaybeam/standins/RankGroup.kt
+++ b/standins/src/main/kotlin/io/jaybeam/standins/RankGroup.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.serialization.Serializable
 import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.thread
 import kotlin.concurrent.withLock
 
 /** An order to one rank; [expected] is the map version that the rank must have. */
@@ -40,6 +41,7 @@
 private class Rank(
     var version: Long = 0,
     var map: List<Int> = emptyList(),
+    var preparing: Long = -1,
     var prepared: Long = -1,
     var preparedMap: List<Int> = emptyList(),
     var held: Boolean = false,
@@ -55,10 +57,12 @@
     size: Int,
     private val incarnation: String,
     private val fenced: Boolean,
+    initialMap: List<Int>,
+    private val loadWeights: (slots: Int) -> Unit,
 ) {
     private val lock = ReentrantLock()
     private val changed = lock.newCondition()
-    private val ranks = List(size) { Rank() }
+    private val ranks = List(size) { Rank(map = initialMap) }
     private var highestFence = -1L
     private var steps = 0L
     private var mixedSteps = 0L
@@ -85,13 +89,31 @@
 
     fun stall(rank: Int, millis: Long) = lock.withLock { ranks[rank].stallMillis = millis }
 
-    fun prepare(rank: Int, order: RankOrder): Boolean =
+    /** Starts to load the weights of a map; the rank is prepared once they are there. */
+    fun prepare(
+        rank: Int,
+        order: RankOrder,
+    ): Boolean =
         obey(rank, order) {
-            it.prepared = order.version
-            it.preparedMap = order.map
+            if (it.preparing != order.version) {
+                it.preparing = order.version
+                thread(isDaemon = true) { load(it, order) }
+            }
             true
         }
 
+    private fun load(
+        rank: Rank,
+        order: RankOrder,
+    ) {
+        loadWeights(rank.map.zip(order.map).count { (before, after) -> before != after } / ranks.size + 1)
+        lock.withLock {
+            if (rank.preparing != order.version) return
+            rank.prepared = order.version
+            rank.preparedMap = order.map
+        }
+    }
+
     fun hold(rank: Int, order: RankOrder): Boolean =
         obey(rank, order) {
             it.held = true
