--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/CapacityBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/CapacityBenchmark.kt
@@ -170,7 +170,7 @@
     val frames =
         listOf(
             "heartbeat" to Frame.Heartbeat(28_000_000),
-            "load report" to Frame.Load(12, 3, 16, false),
+            "load report" to Frame.Load(12, 3, 16, 12.5, false),
             "chunk of one token" to Frame.Chunk("0b5c4e9a-7d1c-4f0e-9d3c-100000000000", 1_000_000, 40, ByteArray(70)),
             "acknowledgement" to Frame.Ack("0b5c4e9a-7d1c-4f0e-9d3c-100000000000", 1_000_000, 41),
         )
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/MoveBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/MoveBenchmark.kt
@@ -11,7 +11,7 @@
 import io.jaybeam.scenarios.inFlightIn
 import kotlin.time.TimeSource
 
-private const val CALLERS = 36
+private const val CALLERS = 72
 private const val TOKENS = 20
 private const val STEADY_MILLIS = 6_000L
 private const val AWAY_MILLIS = 3_000L
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/RoutingBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/RoutingBenchmark.kt
@@ -20,7 +20,7 @@
     listOf(50, 90, 150).forEach { load ->
         val rows = policies(seed).map { policy -> row(policy.name, RoutingModel(policy.make(), load, seed).run()) }
         printTable(
-            "Routing at $load% load: $TARGETS targets, one straggler, reports every 250 ms and 300 ms late, seed $seed",
+            "Routing at $load% load: $TARGETS targets, one straggler, reports every 1000 ms and 300 ms late, seed $seed",
             listOf("policy", "first token p95 ms", "token gap p95 ms", "cache hits %", "urgent %", "patient %", "small org %", "answers/s", "retries"),
             rows,
         )
@@ -44,6 +44,12 @@
             val router = Router(Random(seed))
             ModelPolicy { views, _ -> router.pick(views, null)?.index }
         },
+        NamedPolicy("jaybeam, blind to speed") {
+            val router = Router(Random(seed))
+            ModelPolicy { views, request ->
+                router.pick(views.map { it.copy(stepMillis = 0.0) }, hash64("prefix-${request.prefix}"))?.index
+            }
+        },
         NamedPolicy("jaybeam") {
             val router = Router(Random(seed))
             ModelPolicy { views, request -> router.pick(views, hash64("prefix-${request.prefix}"))?.index }
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/RoutingModel.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/RoutingModel.kt
@@ -27,7 +27,7 @@
 private const val HIT_MILLIS = 10.0
 private const val CACHED_PREFIXES = 40
 private const val PREFIXES = 240
-private const val REPORT_MILLIS = 250.0
+private const val REPORT_MILLIS = 1_000.0
 private const val REPORT_LAG_MILLIS = 300.0
 private const val PATIENT_SHARE = 0.3
 private const val LARGE_SHARE = 0.6
@@ -38,7 +38,7 @@
 internal const val RUN_MILLIS = 120_000.0
 private const val SETTLE_MILLIS = 10_000.0
 
-private val urgent = PriceTier("counter", TierClass.URGENT, 5_000, 12)
+private val urgent = PriceTier("counter", TierClass.URGENT, 1_000, 12)
 private val patient = PriceTier("overnight", TierClass.PATIENT, 20_000, 3)
 
 /** A request of the model. */
@@ -95,6 +95,7 @@
 private class ModelEntry {
     val reported = IntArray(TARGETS)
     val sent = IntArray(TARGETS)
+    val reportedStep = DoubleArray(TARGETS)
     val reportedAt = DoubleArray(TARGETS)
     val budget = RetryBudget(RETRY_PERCENT, RETRY_BURST)
 }
@@ -192,16 +193,19 @@
         reportedInFlight = entry.reported[index],
         sentSinceReport = entry.sent[index],
         reportAgeMillis = (now - entry.reportedAt[index]).toLong(),
+        stepMillis = entry.reportedStep[index],
     )
 
     private fun report(target: ModelTarget) {
         val load = target.inFlight + target.queue.size
         val madeAt = now
+        val step = target.stepMillis()
         at(now + REPORT_LAG_MILLIS) {
             entries.forEach {
                 it.reported[target.index] = load
                 it.reportedAt[target.index] = madeAt
                 it.sent[target.index] = 0
+                it.reportedStep[target.index] = step
             }
         }
         at(now + REPORT_MILLIS) { report(target) }
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/SystemBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/SystemBenchmark.kt
@@ -14,8 +14,10 @@
 import java.nio.file.Path
 import kotlin.time.TimeSource
 
-private const val WARM_MILLIS = 4_000L
-private const val MEASURE_MILLIS = 6_000L
+private const val WARM_CALLERS = 32
+private const val FIRST_WARM_MILLIS = 10_000L
+private const val WARM_MILLIS = 2_000L
+private const val MEASURE_MILLIS = 5_000L
 private const val CHANGES = 10
 private const val KILOBYTES_PER_MEGABYTE = 1_024
 private val percents = listOf(50.0, 95.0, 99.0)
@@ -63,6 +65,9 @@
     val direct = fleet.targets.first { it.service != MODEL_SERVICE }.targetUrl
     val entry = fleet.entries.first().url
     val options = CallOptions(booking = "bench")
+    val warmUp = Load(WARM_CALLERS) { caller.post("$entry/services/booking/bookings", "{}", options) }.start()
+    Thread.sleep(FIRST_WARM_MILLIS)
+    warmUp.stop()
     val rows =
         listOf(1, 8, 32).flatMap { callers ->
             listOf(
--- a/core/src/main/kotlin/io/jaybeam/core/admission/TargetAdmission.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/TargetAdmission.kt
@@ -42,6 +42,9 @@
     public var inFlight: Int = 0
         private set
 
+    /** Usual time between tokens, in milliseconds; 0 where it is not known. */
+    public val usualStepMillis: Double get() = if (baselineStepMillis.isNaN()) 0.0 else baselineStepMillis
+
     /** Puts the limits of a new bundle in force. */
     public fun configure(limits: FreshTargetLimits) {
         this.limits = limits
--- a/core/src/main/kotlin/io/jaybeam/core/placement/ExpertMap.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/ExpertMap.kt
@@ -35,10 +35,7 @@
         return ranks.sumOf { (after, old) -> missingFrom(old, after) }
     }
 
-    private fun missingFrom(
-        old: List<Int>,
-        after: List<Int>,
-    ): Int {
+    private fun missingFrom(old: List<Int>, after: List<Int>): Int {
         val left = old.toMutableList()
         return after.count { !left.remove(it) }
     }
@@ -56,10 +53,7 @@
 }
 
 /** Returns the step times of [map] under [load]; an expert's tokens are split evenly over its slots. */
-public fun stepTimes(
-    map: ExpertMap,
-    load: LayerLoad,
-): StepTimes {
+public fun stepTimes(map: ExpertMap, load: LayerLoad): StepTimes {
     val copies = IntArray(load.expertCount)
     map.expertBySlot.forEach { copies[it] += 1 }
     val work = DoubleArray(load.rankCount)
@@ -71,10 +65,7 @@
  * Returns a time that no map with as many slots can beat: all work spread over all ranks by speed, or the most
  * loaded expert spread over as many of the fastest ranks as there are spare slots.
  */
-public fun stepTimeLowerBound(
-    load: LayerLoad,
-    slotsPerRank: Int,
-): Double {
+public fun stepTimeLowerBound(load: LayerLoad, slotsPerRank: Int): Double {
     val spread = load.loadByExpert.sum() / load.speedByRank.sum()
     val spareSlots = load.rankCount * slotsPerRank - load.expertCount
     val copies = minOf(spareSlots + 1, load.rankCount)
--- a/core/src/main/kotlin/io/jaybeam/core/placement/PlacementPlanner.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/PlacementPlanner.kt
@@ -28,10 +28,7 @@
 }
 
 /** Returns a map for [load] made without regard to any map in force. */
-public fun solvePlacement(
-    load: LayerLoad,
-    slotsPerRank: Int,
-): ExpertMap {
+public fun solvePlacement(load: LayerLoad, slotsPerRank: Int): ExpertMap {
     val copies = copyCounts(load, load.rankCount * slotsPerRank)
     val ranks = List(load.rankCount) { RankFill(load.speedByRank[it]) }
     val shares = copies.flatMapIndexed { expert, count -> List(count) { Share(expert, load.loadByExpert[expert] / count) } }
@@ -47,11 +44,7 @@
 /**
  * Returns a better map within [policy]'s moves, or null where none saves enough step time to be worth its moves.
  */
-public fun planPlacement(
-    current: ExpertMap,
-    load: LayerLoad,
-    policy: PlacementPolicy,
-): PlacementPlan? {
+public fun planPlacement(current: ExpertMap, load: LayerLoad, policy: PlacementPolicy): PlacementPlan? {
     val before = stepTimes(current, load)
     if (before.skew <= policy.targetSkew) return null
     val map = PlacementSearch(current, load).improve(policy.maxMoves, policy.targetSkew)
@@ -80,10 +73,7 @@
 }
 
 /** Gives each expert a slot and each spare slot to the expert whose copies are the most loaded. */
-private fun copyCounts(
-    load: LayerLoad,
-    slots: Int,
-): IntArray {
+private fun copyCounts(load: LayerLoad, slots: Int): IntArray {
     val copies = IntArray(load.expertCount) { 1 }
     repeat(slots - load.expertCount) {
         val hottest = copies.indices.filter { copies[it] < load.rankCount }.maxBy { load.loadByExpert[it] / copies[it] }
--- a/core/src/main/kotlin/io/jaybeam/core/placement/PlacementSearch.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/PlacementSearch.kt
@@ -50,10 +50,7 @@
     }
 
     /** Takes steps until the skew is at most [targetSkew], [maxMoves] are used or nothing helps; returns the map. */
-    fun improve(
-        maxMoves: Int,
-        targetSkew: Double,
-    ): ExpertMap {
+    fun improve(maxMoves: Int, targetSkew: Double): ExpertMap {
         var movesLeft = maxMoves
         repeat(MAX_STEPS) {
             if (skew() <= targetSkew) return result()
@@ -70,10 +67,7 @@
 
     private fun time(rank: Int) = work[rank] / load.speedByRank[rank]
 
-    private fun time(
-        rank: Int,
-        extraWork: Double,
-    ) = (work[rank] + extraWork) / load.speedByRank[rank]
+    private fun time(rank: Int, extraWork: Double) = (work[rank] + extraWork) / load.speedByRank[rank]
 
     private fun share(expert: Int) = load.loadByExpert[expert] / copies[expert]
 
@@ -98,10 +92,7 @@
         return best
     }
 
-    private fun changesAt(
-        slowest: Int,
-        slowestTime: Double,
-    ): Sequence<Change> =
+    private fun changesAt(slowest: Int, slowestTime: Double): Sequence<Change> =
         sequence {
             val slots = slowest * slotsPerRank until (slowest + 1) * slotsPerRank
             for (slot in slots) {
@@ -113,25 +104,16 @@
             slots.filter { copies[expertBySlot[it]] > 1 }.forEach { slot -> yieldAll(replacements(slot)) }
         }
 
-    private fun exchange(
-        slot: Int,
-        other: Int,
-    ): Change? {
+    private fun exchange(slot: Int, other: Int): Change? {
         val delta = share(expertBySlot[slot]) - share(expertBySlot[other])
         if (delta <= 0 || holds(rankOf(other), expertBySlot[slot]) || holds(rankOf(slot), expertBySlot[other])) return null
         return Change.Exchange(slot, other, maxOf(time(rankOf(slot), -delta), time(rankOf(other), delta)))
     }
 
-    private fun holds(
-        rank: Int,
-        expert: Int,
-    ) = slotsByExpert[expert].any { rankOf(it) == rank }
+    private fun holds(rank: Int, expert: Int) = slotsByExpert[expert].any { rankOf(it) == rank }
 
     /** Copies of [expert] in slots that hold the second copy of something cold. */
-    private fun relieving(
-        expert: Int,
-        slowestTime: Double,
-    ): List<Change> {
+    private fun relieving(expert: Int, slowestTime: Double): List<Change> {
         if (copies[expert] >= load.rankCount) return emptyList()
         val shareAfter = load.loadByExpert[expert] / (copies[expert] + 1)
         return expertBySlot.indices.mapNotNull { slot ->
@@ -178,10 +160,7 @@
         }
     }
 
-    private fun assign(
-        slot: Int,
-        expert: Int,
-    ) {
+    private fun assign(slot: Int, expert: Int) {
         val old = expertBySlot[slot]
         reshare(old) {
             copies[old] -= 1
@@ -195,10 +174,7 @@
     }
 
     /** Takes the work of [expert] off all ranks, lets [change] change its slots and spreads the work again. */
-    private fun reshare(
-        expert: Int,
-        change: () -> Unit,
-    ) {
+    private fun reshare(expert: Int, change: () -> Unit) {
         slotsByExpert[expert].forEach { work[rankOf(it)] -= share(expert) }
         change()
         slotsByExpert[expert].forEach { work[rankOf(it)] += share(expert) }
--- a/core/src/main/kotlin/io/jaybeam/core/rankgroup/MapChange.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/rankgroup/MapChange.kt
@@ -69,15 +69,10 @@
  *
  * A goal below the version of any rank was overtaken by a later side's and counts as none.
  */
-public fun nextMapRound(
-    views: List<RankView>,
-    goal: Long?,
-): MapRound = roundTowards(views, goal?.takeIf { wanted -> views.none { it.version > wanted } })
+public fun nextMapRound(views: List<RankView>, goal: Long?): MapRound =
+    roundTowards(views, goal?.takeIf { wanted -> views.none { it.version > wanted } })
 
-private fun roundTowards(
-    views: List<RankView>,
-    goal: Long?,
-): MapRound {
+private fun roundTowards(views: List<RankView>, goal: Long?): MapRound {
     val versions = views.map { it.version }.toSet()
     val common = versions.singleOrNull()
     if (common != null && (goal == null || common == goal)) return runAt(views, common)
@@ -90,10 +85,7 @@
     return MapRound.Give(behind.map { RankOrder.Switch(it.rank, it.version, goal) })
 }
 
-private fun runAt(
-    views: List<RankView>,
-    version: Long,
-): MapRound {
+private fun runAt(views: List<RankView>, version: Long): MapRound {
     val held = views.filter { it.held }
     if (held.isEmpty()) return MapRound.Settled(version)
     return MapRound.Give(held.map { RankOrder.Resume(it.rank, version) })
--- a/core/src/main/kotlin/io/jaybeam/core/routing/Router.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/routing/Router.kt
@@ -1,6 +1,6 @@
 /*
  * Which target an entry sends a request to: the target that caches the request's prefix while its load
- * is within a bound of the mean, else the less loaded of two drawn at random.
+ * is within a bound of the mean, else the less loaded of two drawn at random. A slow target counts as more loaded.
  */
 package io.jaybeam.core.routing
 
@@ -13,6 +13,7 @@
  * @property reportedInFlight the target's load at its last report, work of all entries.
  * @property sentSinceReport requests of this entry that the report does not count yet.
  * @property reportAgeMillis age of the report.
+ * @property stepMillis usual time between tokens of one answer at the target; 0 where it is not known.
  */
 public data class TargetView(
     val identity: TargetIncarnation,
@@ -22,6 +23,7 @@
     val reportedInFlight: Int,
     val sentSinceReport: Int,
     val reportAgeMillis: Long,
+    val stepMillis: Double = 0.0,
 ) {
     /** Load per place, aged: an old report counts towards a middling load. */
     internal val load: Double
@@ -34,6 +36,7 @@
 
 private const val REPORT_HALF_LIFE_MILLIS = 2_000.0
 private const val MIDDLING_LOAD = 0.5
+private const val IDLE_LOAD = 0.5
 private const val AFFINITY_LOAD_BOUND = 1.25
 private const val AFFINITY_LOAD_SLACK = 0.25
 
@@ -61,15 +64,28 @@
 
     private fun affineOrNull(candidates: List<TargetView>, prefixHash: Long?): TargetView? {
         if (prefixHash == null) return null
-        val mean = candidates.sumOf { it.load } / candidates.size
+        val typicalStepMillis = typicalStepMillis(candidates)
+        val mean = candidates.sumOf { cost(it, typicalStepMillis) } / candidates.size
         val home = candidates.maxBy { rendezvousScore(prefixHash, it.identity.instance) }
-        return home.takeIf { it.load <= mean * AFFINITY_LOAD_BOUND + AFFINITY_LOAD_SLACK }
+        return home.takeIf { cost(it, typicalStepMillis) <= mean * AFFINITY_LOAD_BOUND + AFFINITY_LOAD_SLACK }
     }
 
     private fun lessLoadedOfTwo(candidates: List<TargetView>): TargetView {
         val first = candidates[random.nextInt(candidates.size)]
         val second = candidates[random.nextInt(candidates.size)]
-        return if (second.load < first.load) second else first
+        val typicalStepMillis = typicalStepMillis(candidates)
+        return if (cost(second, typicalStepMillis) < cost(first, typicalStepMillis)) second else first
+    }
+
+    /** Load weighted by how much slower than usual the target steps, so that a straggler is avoided even when idle. */
+    private fun cost(view: TargetView, typicalStepMillis: Double): Double {
+        if (view.stepMillis <= 0.0 || typicalStepMillis <= 0.0) return view.load + IDLE_LOAD
+        return (view.load + IDLE_LOAD) * maxOf(view.stepMillis / typicalStepMillis, 1.0)
+    }
+
+    private fun typicalStepMillis(candidates: List<TargetView>): Double {
+        val known = candidates.map { it.stepMillis }.filter { it > 0.0 }.sorted()
+        return if (known.isEmpty()) 0.0 else known[known.size / 2]
     }
 }
 
--- a/core/src/main/kotlin/io/jaybeam/core/ticket/RequestLedger.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/ticket/RequestLedger.kt
@@ -138,10 +138,15 @@
         entries[ticket.id] = LedgerEntry.Refused(entry.digest, entry.mintedAtMillis, reason)
     }
 
-    /** Forgets tickets whose window is over; returns their ids. */
+    /**
+     * Forgets tickets whose window is over; returns their ids.
+     *
+     * Stops at the first ticket that is live, in order of arrival: one that was minted earlier but arrived later is
+     * remembered a little longer than it has to be.
+     */
     public fun expire(nowMillis: Long): List<String> {
         val now = advance(nowMillis)
-        val expired = entries.filterValues { now - it.mintedAtMillis > windowMillis }.keys.toList()
+        val expired = entries.entries.takeWhile { now - it.value.mintedAtMillis > windowMillis }.map { it.key }
         expired.forEach(entries::remove)
         return expired
     }
--- a/core/src/test/kotlin/io/jaybeam/core/config/ConfigStatePropertiesTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/config/ConfigStatePropertiesTest.kt
@@ -11,11 +11,7 @@
     private val names = listOf("pdx", "sea", "boi")
 
     /** A log in which operators race: each change is based on a version that may be old by the time it is appended. */
-    private fun racingLog(
-        random: Random,
-        size: Int,
-        snapshotAt: Int? = null,
-    ): List<ConfigRecord?> {
+    private fun racingLog(random: Random, size: Int, snapshotAt: Int? = null): List<ConfigRecord?> {
         var state = ConfigState()
         val seen = mutableListOf(state)
         return List(size) { offset ->
--- a/core/src/test/kotlin/io/jaybeam/core/config/ConfigStateTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/config/ConfigStateTest.kt
@@ -6,10 +6,7 @@
 import kotlin.test.assertNull
 
 internal class ConfigStateTest {
-    private fun change(
-        base: Long,
-        inService: Boolean,
-    ) = ConfigChange.SetDataCentre("id-$base-$inService", base, "ann", "pdx", inService)
+    private fun change(base: Long, inService: Boolean) = ConfigChange.SetDataCentre("id-$base-$inService", base, "ann", "pdx", inService)
 
     private fun record(change: ConfigChange) = ConfigRecord.Change(OperatorKeys.signer.sign(change))
 
--- a/core/src/test/kotlin/io/jaybeam/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/placement/PlacementTest.kt
@@ -11,11 +11,7 @@
 import kotlin.test.assertTrue
 
 internal class PlacementTest {
-    private fun skewedLoad(
-        random: Random,
-        ranks: Int = 16,
-        experts: Int = 32,
-    ): LayerLoad {
+    private fun skewedLoad(random: Random, ranks: Int = 16, experts: Int = 32): LayerLoad {
         val loads = List(experts) { 1.0 / (it + 1.0).pow(0.8) }.shuffled(random)
         return LayerLoad(loads, List(ranks) { if (random.nextInt(16) == 0) 0.7 else 1.0 })
     }
@@ -28,7 +24,12 @@
         val current = solvePlacement(skewedLoad(random), 3)
         val load = skewedLoad(random)
         val plan = planPlacement(current, load, PlacementPolicy(maxMoves = 6, minGainPercent = 1.0)) ?: return
-        assertEquals(load.expertCount, plan.map.expertBySlot.toSet().size)
+        assertEquals(
+            load.expertCount,
+            plan.map.expertBySlot
+                .toSet()
+                .size,
+        )
         assertTrue(plan.moves in 1..6, "${plan.moves} moves")
         assertTrue(plan.gainPercent >= 1.0)
         assertEquals(stepTimes(plan.map, load).slowest, plan.after.slowest)
--- a/core/src/test/kotlin/io/jaybeam/core/rankgroup/MapChangePropertiesTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/rankgroup/MapChangePropertiesTest.kt
@@ -92,10 +92,7 @@
         }
     }
 
-    private fun switch(
-        rank: Rank,
-        version: Long,
-    ) {
+    private fun switch(rank: Rank, version: Long) {
         if (!rank.held || rank.prepared != version || version <= rank.version) return
         rank.version = version
         switches += 1
--- a/core/src/test/kotlin/io/jaybeam/core/routing/RouterTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/routing/RouterTest.kt
@@ -10,10 +10,7 @@
 import kotlin.test.assertTrue
 
 internal class RouterTest {
-    private fun view(
-        name: String,
-        inFlight: Int,
-    ) = TargetView(TargetIncarnation(name, "a"), "chat", "pdx", 10, inFlight, 0, 0)
+    private fun view(name: String, inFlight: Int) = TargetView(TargetIncarnation(name, "a"), "chat", "pdx", 10, inFlight, 0, 0)
 
     @Test
     fun `no candidate gives no target`() {
@@ -30,6 +27,14 @@
         assertNotEquals(setOf<String?>(home), List(20) { router.pick(loaded, 42)?.identity?.instance }.toSet())
     }
 
+    @Test
+    fun `a straggler gets little work`() {
+        val router = Router(Random(2))
+        val targets = List(6) { view("t$it", 4).copy(stepMillis = if (it == 0) 24.0 else 12.0) }
+        val picks = List(600) { checkNotNull(router.pick(targets, it.toLong())).identity.instance }
+        assertTrue(picks.count { it == "t0" } < 40, "${picks.groupingBy { it }.eachCount()}")
+    }
+
     @Test
     fun `an ordered pick names each target once`() {
         val picked = Router(Random(3)).pickOrdered(List(5) { view("t$it", it) }, 3).map { it.identity.instance }
--- a/core/src/test/kotlin/io/jaybeam/core/ticket/AtMostOncePropertiesTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/ticket/AtMostOncePropertiesTest.kt
@@ -85,10 +85,7 @@
         walk.replies += reply
     }
 
-    private fun offer(
-        target: Target,
-        member: TargetIncarnation,
-    ): MemberReply {
+    private fun offer(target: Target, member: TargetIncarnation): MemberReply {
         if (member != target.identity) return MemberReply.Silent
         return when (val verdict = target.ledger.offer(ticket, "digest", nowMillis)) {
             is LedgerVerdict.First -> decide(target)
--- a/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
@@ -35,6 +35,7 @@
 import io.jaybeam.platform.observe.metricsRegistry
 import io.jaybeam.platform.settings.ServingProcess
 import io.jaybeam.wire.Frame
+import io.jaybeam.wire.HEARTBEAT_MILLIS
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkRuntime
 import io.jaybeam.wire.PROTOCOL_VERSION
@@ -50,7 +51,6 @@
 import kotlin.random.Random
 import kotlin.time.Clock
 
-private const val HEARTBEAT_MILLIS = 250L
 private const val CRASH_RETENTION_MILLIS = 600_000L
 private const val CRASH_CAPACITY = 10_000
 private const val NANOS_PER_MILLI = 1_000_000L
--- a/entry/src/main/kotlin/io/jaybeam/entry/forward/AnswerRelay.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/forward/AnswerRelay.kt
@@ -154,10 +154,7 @@
         attempt.acknowledge(progress.nextChunk)
     }
 
-    private fun end(
-        attempt: Attempt,
-        frame: Frame.End,
-    ): RelayEnd? {
+    private fun end(attempt: Attempt, frame: Frame.End): RelayEnd? {
         val status = progress.status
         if (status != null && frame.chunkCount == progress.nextChunk) {
             attempt.acknowledge(progress.nextChunk)
--- a/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
@@ -98,7 +98,7 @@
     private var identity: TargetIncarnation? = null
 
     @Volatile
-    private var load = Frame.Load(0, 0, 1, leaving = true)
+    private var load = Frame.Load(0, 0, 1, 0.0, leaving = true)
 
     @Volatile
     private var loadAtNanos = System.nanoTime()
@@ -124,6 +124,7 @@
             reportedInFlight = load.inFlight + load.queued,
             sentSinceReport = sentSinceReport.get(),
             reportAgeMillis = (System.nanoTime() - loadAtNanos) / 1_000_000,
+            stepMillis = load.stepMillis,
         )
     }
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetDirectory.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetDirectory.kt
@@ -12,6 +12,7 @@
 import io.jaybeam.platform.instances.InstanceListClient
 import io.jaybeam.platform.instances.InstancePhase
 import io.jaybeam.platform.instances.InstanceRole
+import io.jaybeam.platform.instances.ListReading
 import io.jaybeam.platform.instances.ListedInstance
 import io.jaybeam.platform.observe.EventLog
 import io.jaybeam.platform.observe.LogEvent
@@ -23,6 +24,7 @@
 import kotlin.concurrent.thread
 
 private const val REFRESH_MILLIS = 250L
+private const val REFRESHES_PER_READ = 4
 
 /** Keeps the channels of one entry. */
 internal class TargetDirectory(
@@ -39,8 +41,8 @@
     @Volatile
     private var running = true
 
-    @Volatile
     private var listReachable = true
+    private var refreshes = 0
 
     /** Starts to follow the list. */
     fun start() {
@@ -78,19 +80,27 @@
     }
 
     private fun refresh() {
-        list.read().fold(
-            { message ->
-                if (listReachable) events.write(LogEvent.INSTANCE_LIST_UNREACHABLE, LogField("detail", message))
-                listReachable = false
-            },
-            { read ->
-                listReachable = true
-                follow(read)
-            },
-        )
+        if (refreshes++ % REFRESHES_PER_READ == 0) readList()
+        dropGone()
         channels.values.filter { !it.isUp && !it.connecting }.forEach(::connect)
     }
 
+    private fun readList() {
+        val reading = list.read()
+        when (reading) {
+            is ListReading.Changed -> follow(reading.list)
+            is ListReading.Unchanged -> Unit
+            is ListReading.Failed ->
+                if (listReachable) {
+                    events.write(
+                        LogEvent.INSTANCE_LIST_UNREACHABLE,
+                        LogField("detail", reading.message),
+                    )
+                }
+        }
+        listReachable = reading !is ListReading.Failed
+    }
+
     private fun follow(read: InstanceList) {
         val wanted = wanted(read)
         wanted.forEach { listed ->
@@ -99,11 +109,13 @@
             channel.listed = listed
         }
         val names = wanted.map { it.instance }.toSet()
-        channels.values.filter { it.listed.instance !in names && it.attemptCount == 0 && !it.isUp }.forEach {
-            channels.remove(
-                it.listed.instance,
-            )
-        }
+        channels.values.filter { it.listed.instance !in names }.forEach { it.listed = it.listed.copy(phase = InstancePhase.LEAVING) }
+    }
+
+    /** Drops the channels of instances that left the list, once nothing is under way on them. */
+    private fun dropGone() {
+        val gone = channels.values.filter { it.listed.phase == InstancePhase.LEAVING && it.attemptCount == 0 && !it.isUp }
+        gone.forEach { channels.remove(it.listed.instance) }
     }
 
     private fun wanted(read: InstanceList): List<ListedInstance> =
--- /dev/null
+++ b/entry/src/test/kotlin/io/jaybeam/entry/forward/AnswerRelayPropertiesTest.kt
@@ -0,0 +1,136 @@
+package io.jaybeam.entry.forward
+
+import io.jaybeam.core.config.Bundle
+import io.jaybeam.core.config.ExpertPlacement
+import io.jaybeam.core.config.FreshTargetLimits
+import io.jaybeam.core.config.PriceTier
+import io.jaybeam.core.config.RequestLimits
+import io.jaybeam.core.config.TierClass
+import io.jaybeam.core.ticket.TargetIncarnation
+import io.jaybeam.entry.calls.Call
+import io.jaybeam.entry.calls.CallerResponse
+import io.jaybeam.entry.calls.Repeatability
+import io.jaybeam.entry.targets.ChannelListener
+import io.jaybeam.entry.targets.TargetChannel
+import io.jaybeam.platform.instances.InstanceRole
+import io.jaybeam.platform.instances.ListedInstance
+import io.jaybeam.wire.Frame
+import io.jaybeam.wire.HeaderField
+import io.jaybeam.wire.Link
+import io.jaybeam.wire.PROTOCOL_VERSION
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+private const val CHUNKS = 12
+private val identity = TargetIncarnation("model-1", "a")
+private val tier = PriceTier("counter", TierClass.URGENT, 1_000, 1)
+private val bundle =
+    Bundle("b", listOf(tier), emptyList(), listOf("pdx"), FreshTargetLimits(1, 1, 0), ExpertPlacement(1, 0, 0, 1), RequestLimits(1, 0, 1))
+
+/** A side whose frames arrive repeated, reordered, cut short, or from attempts long given up. */
+private class UnreliableSide(
+    private val random: Random,
+) : ChannelListener {
+    val channel = TargetChannel(ListedInstance("model-1", InstanceRole.SIDE, "pdx", "127.0.0.1", 1, "chat"), this)
+    private val late = mutableListOf<Frame>()
+
+    fun connect() {
+        val link = SideLink()
+        channel.connected(link)
+        channel.onFrame(link, Frame.Hello(PROTOCOL_VERSION, identity, "pdx", "chat", 0))
+    }
+
+    private inner class SideLink : Link {
+        override var isOpen = true
+
+        override fun send(frame: Frame): Boolean {
+            if (!isOpen) return false
+            if (frame is Frame.Execute) answer(this, frame)
+            return true
+        }
+
+        override fun close(reason: String) {
+            isOpen = false
+        }
+    }
+
+    private fun answer(link: SideLink, execute: Frame.Execute) {
+        val id = execute.requestId
+        val attempt = execute.attemptId
+        val frames = mutableListOf<Frame>()
+        if (execute.fromChunk == 0) frames += Frame.Head(id, attempt, 200, emptyList())
+        for (index in execute.fromChunk until CHUNKS) {
+            val chunk = Frame.Chunk(id, attempt, index, byteArrayOf(index.toByte()))
+            if (random.nextInt(12) > 0) frames += chunk
+            if (random.nextInt(6) == 0) frames += chunk
+        }
+        if (random.nextInt(4) > 0) frames += Frame.End(id, attempt, CHUNKS)
+        if (random.nextInt(3) == 0) frames.shuffle(random)
+        late += frames.filter { random.nextInt(5) == 0 }
+        val cutAt = if (frames.lastOrNull() is Frame.End && random.nextBoolean()) frames.size else random.nextInt(frames.size + 1)
+        val toDeliver = (late.shuffled(random).take(3) + frames.take(cutAt)).toList()
+        toDeliver.forEach { channel.onFrame(link, it) }
+        if (random.nextInt(3) == 0 || cutAt < frames.size || frames.none { it is Frame.End }) {
+            link.isOpen = false
+            channel.onClosed(link, "cut")
+            connect()
+        }
+    }
+
+    override fun onControlFrame(link: Link, frame: Frame) = Unit
+
+    override fun onReplaced(identity: TargetIncarnation, fingerprints: List<String>) = Unit
+
+    override fun onLinkClosed(instance: String, reason: String) = Unit
+}
+
+private class RecordingResponse : CallerResponse {
+    val heads = mutableListOf<Int>()
+    val body = mutableListOf<Byte>()
+
+    override fun head(status: Int, headers: List<HeaderField>) {
+        heads += status
+    }
+
+    override fun chunk(bytes: ByteArray) {
+        body += bytes.toList()
+    }
+
+    override fun abort(detail: String) = Unit
+}
+
+internal class AnswerRelayPropertiesTest {
+    private fun call() =
+        Call(
+            requestId = "r",
+            organisation = "org",
+            tier = tier,
+            service = "chat",
+            method = "POST",
+            path = "/",
+            headers = emptyList(),
+            body = ByteArray(0),
+            repeatability = Repeatability.Idempotent,
+            deadlineNanos = System.nanoTime() + 20_000_000_000,
+            prefixHash = null,
+            bundle = bundle,
+        )
+
+    @Property(tries = 300)
+    fun `an answer that is done is whole, and any other is a prefix`(
+        @ForAll seed: Long,
+    ) {
+        val side = UnreliableSide(Random(seed))
+        side.connect()
+        val response = RecordingResponse()
+        val end = AnswerRelay(call(), response, 200).run(side.channel, identity, ticket = null, suspect = false)
+        val expected = List(CHUNKS) { it.toByte() }
+        assertTrue(response.heads.size <= 1)
+        assertEquals(expected.take(response.body.size), response.body)
+        assertEquals(RelayEnd.Done(200), end)
+        assertEquals(expected, response.body)
+    }
+}
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
@@ -38,44 +38,28 @@
     fun cutAnswers(bytes: Int) = setFaults("""{"cutAfterBytes": $bytes}""")
 
     @When("booking {string} is sent with a ticket through entry {int}")
-    fun sendWithTicket(
-        name: String,
-        entry: Int,
-    ) {
+    fun sendWithTicket(name: String, entry: Int) {
         val ticket = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
         send(name, CallOptions(ticket = ticket, booking = name), entry)
     }
 
     @When("booking {string} is sent with a ticket and a deadline of {int} ms through entry {int}")
-    fun sendWithDeadline(
-        name: String,
-        deadlineMillis: Int,
-        entry: Int,
-    ) {
+    fun sendWithDeadline(name: String, deadlineMillis: Int, entry: Int) {
         val ticket = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
         send(name, CallOptions(ticket = ticket, booking = name, deadlineMillis = deadlineMillis.toLong()), entry)
     }
 
     @When("a ticket for booking {string} is taken through entry {int}")
-    fun takeTicket(
-        name: String,
-        entry: Int,
-    ) {
+    fun takeTicket(name: String, entry: Int) {
         val ticket = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
         bookings[name] = Booking(CallOptions(ticket = ticket, booking = name))
     }
 
     @When("booking {string} is sent with neither ticket nor key through entry {int}")
-    fun sendPlain(
-        name: String,
-        entry: Int,
-    ) = send(name, CallOptions(booking = name), entry)
+    fun sendPlain(name: String, entry: Int) = send(name, CallOptions(booking = name), entry)
 
     @When("booking {string} is sent with a key through entry {int}")
-    fun sendWithKey(
-        name: String,
-        entry: Int,
-    ) = send(name, CallOptions(key = newKey(), booking = name), entry)
+    fun sendWithKey(name: String, entry: Int) = send(name, CallOptions(key = newKey(), booking = name), entry)
 
     @When("booking {string} is sent with a key through every entry together")
     fun sendEverywhere(name: String) {
@@ -84,26 +68,16 @@
     }
 
     @When("booking {string} is sent again through entry {int}")
-    fun sendAgain(
-        name: String,
-        entry: Int,
-    ) = send(name, bookings.getValue(name).options, entry)
+    fun sendAgain(name: String, entry: Int) = send(name, bookings.getValue(name).options, entry)
 
     @When("booking {string} is sent again through entry {int} with a deadline of {int} ms")
-    fun sendAgainWithDeadline(
-        name: String,
-        entry: Int,
-        deadlineMillis: Int,
-    ) {
+    fun sendAgainWithDeadline(name: String, entry: Int, deadlineMillis: Int) {
         val booking = bookings.getValue(name)
         booking.replies += sendAsync(booking.options.copy(deadlineMillis = deadlineMillis.toLong()), entry)
     }
 
     @When("the side that may first run booking {string} is {word}")
-    fun breakFirst(
-        name: String,
-        action: String,
-    ) {
+    fun breakFirst(name: String, action: String) {
         val side = fleet.process("side-${firstInstance(name)}")
         when (action) {
             "killed" -> side.kill()
@@ -126,41 +100,29 @@
     fun setAllIn(direction: String) = setBookingTargets(direction)
 
     @Then("reply {int} to booking {string} is whole")
-    fun whole(
-        number: Int,
-        name: String,
-    ) {
+    fun whole(number: Int, name: String) {
         val reply = assertIs<Reply.Whole>(reply(name, number))
         assertTrue("\"booking\":\"$name\"" in reply.body, reply.body)
     }
 
     @Then("reply {int} to booking {string} has status {int}")
-    fun status(
-        number: Int,
-        name: String,
-        status: Int,
-    ) = assertEquals(status, assertIs<Reply.Whole>(reply(name, number)).status)
+    fun status(number: Int, name: String, status: Int) = assertEquals(status, assertIs<Reply.Whole>(reply(name, number)).status)
 
     @Then("reply {int} to booking {string} says {string}")
-    fun says(
-        number: Int,
-        name: String,
-        outcome: String,
-    ) = assertEquals(outcome, assertIs<Reply.Refused>(reply(name, number)).outcome)
+    fun says(number: Int, name: String, outcome: String) = assertEquals(outcome, assertIs<Reply.Refused>(reply(name, number)).outcome)
 
     @Then("reply {int} to booking {string} is cut or says {string}")
-    fun cutOrSays(
-        number: Int,
-        name: String,
-        outcome: String,
-    ) {
+    fun cutOrSays(number: Int, name: String, outcome: String) {
         val reply = reply(name, number)
         if (reply !is Reply.Cut) assertEquals(outcome, assertIs<Reply.Refused>(reply).outcome)
     }
 
     @Then("every reply to booking {string} is whole")
     fun allWhole(name: String) {
-        bookings.getValue(name).replies.indices.forEach { whole(it + 1, name) }
+        bookings
+            .getValue(name)
+            .replies.indices
+            .forEach { whole(it + 1, name) }
     }
 
     @Then("every reply to booking {string} is the same answer")
@@ -174,16 +136,10 @@
     }
 
     @Then("booking {string} ran {int} time(s)")
-    fun ran(
-        name: String,
-        times: Int,
-    ) = assertEquals(times, fleet.bookingRuns(name))
+    fun ran(name: String, times: Int) = assertEquals(times, fleet.bookingRuns(name))
 
     @Then("booking {string} ran at most {int} time(s)")
-    fun ranAtMost(
-        name: String,
-        times: Int,
-    ) = assertTrue(fleet.bookingRuns(name) <= times, "$name ran ${fleet.bookingRuns(name)} times")
+    fun ranAtMost(name: String, times: Int) = assertTrue(fleet.bookingRuns(name) <= times, "$name ran ${fleet.bookingRuns(name)} times")
 
     @Then("every booking ran at most once, and none of which \"not run\" was said")
     fun atMostOnceEach() {
@@ -205,29 +161,18 @@
         Thread.sleep(PROPAGATION_MILLIS)
     }
 
-    private fun send(
-        name: String,
-        options: CallOptions,
-        entry: Int,
-    ) {
+    private fun send(name: String, options: CallOptions, entry: Int) {
         bookings.getOrPut(name) { Booking(options) }.replies += sendAsync(options, entry)
     }
 
-    private fun sendAsync(
-        options: CallOptions,
-        entry: Int,
-    ): CompletableFuture<Reply> {
+    private fun sendAsync(options: CallOptions, entry: Int): CompletableFuture<Reply> {
         val url = Site.entry(entry).url
         return CompletableFuture.supplyAsync { caller.book(url, options) }
     }
 
-    private fun reply(
-        name: String,
-        number: Int,
-    ): Reply = bookings.getValue(name).replies[number - 1].get(REPLY_SECONDS, TimeUnit.SECONDS)
+    private fun reply(name: String, number: Int): Reply = bookings.getValue(name).replies[number - 1].get(REPLY_SECONDS, TimeUnit.SECONDS)
 
-    private fun setFaults(json: String) =
-        fleet.targets.filter { it.service == PLAIN_SERVICE }.forEach { fleet.control(it.targetUrl, json) }
+    private fun setFaults(json: String) = fleet.targets.filter { it.service == PLAIN_SERVICE }.forEach { fleet.control(it.targetUrl, json) }
 }
 
 private const val PROPAGATION_MILLIS = 1_500L
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/ExpertMapSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/ExpertMapSteps.kt
@@ -25,7 +25,9 @@
         models: Int,
         kind: String,
     ) {
-        val profile = """{"fenced": ${kind == "fenced"}, "ranks": 4, "experts": 8, "slotsPerRank": 3, "weightsUrl": "${FleetPlan.WEIGHTS_PLACEHOLDER}"}"""
+        val profile =
+            """{"fenced": ${kind == "fenced"}, "ranks": 4, "experts": $EXPERTS, "slotsPerRank": 3,
+            "weightsUrl": "${FleetPlan.WEIGHTS_PLACEHOLDER}"}"""
         Site.start(FleetPlan(entries = entries, modelTargets = models, plainTargets = 0, engineProfile = profile))
     }
 
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
@@ -41,11 +41,8 @@
     private val fleet get() = Site.fleet
 
     @Given("a site with {int} entries, {int} model targets and {int} booking targets")
-    fun site(
-        entries: Int,
-        models: Int,
-        bookings: Int,
-    ) = Site.start(FleetPlan(entries = entries, modelTargets = models, plainTargets = bookings))
+    fun site(entries: Int, models: Int, bookings: Int) =
+        Site.start(FleetPlan(entries = entries, modelTargets = models, plainTargets = bookings))
 
     @Given("a site with {int} entries, {int} model targets and {int} booking targets whose log keeps {int} records")
     fun siteWithRetention(
@@ -140,11 +137,7 @@
     fun reset(instance: String) = fleet.linkRelay(Site.target(instance)).resetOpenConnections()
 
     @When("operator {string} takes data centre {string} {word}")
-    fun operate(
-        operator: String,
-        name: String,
-        direction: String,
-    ) {
+    fun operate(operator: String, name: String, direction: String) {
         val result = fleet.operate("datacentre", direction, name, "--operator", fleet.operatorFile(operator))
         assertEquals(0, result.exitCode, result.text)
     }
@@ -159,14 +152,13 @@
 
     @When("the change of data centre {string} that lost is appended again")
     fun appendLateAgain(name: String) {
-        fleet.append(ConfigChange.SetDataCentre("race-in", ConfigState().versionOf(ConfigItem(ConfigItemKind.DATA_CENTRE, name)), "ben", name, true))
+        fleet.append(
+            ConfigChange.SetDataCentre("race-in", ConfigState().versionOf(ConfigItem(ConfigItemKind.DATA_CENTRE, name)), "ben", name, true),
+        )
     }
 
     @When("{int} changes of instance {string} are appended")
-    fun manyChanges(
-        count: Int,
-        instance: String,
-    ) {
+    fun manyChanges(count: Int, instance: String) {
         repeat(count) {
             val version = fleet.itemVersion(ConfigItem(ConfigItemKind.INSTANCE, instance))
             fleet.append(ConfigChange.SetInstance("many-$it", version, "ann", instance, inService = it % 2 == 1))
@@ -189,14 +181,15 @@
     @Then("within 4 s every running process has the same configuration")
     fun sameEverywhere() =
         fleet.awaitTrue("the same configuration everywhere", SETTLE_MILLIS) {
-            fleet.dumps().map { Regex("\"configVersion\":(-?\\d+)").find(it)?.value }.toSet().size == 1
+            fleet
+                .dumps()
+                .map { Regex("\"configVersion\":(-?\\d+)").find(it)?.value }
+                .toSet()
+                .size == 1
         }
 
     @Then("data centre {string} is still out in every running process after {int} ms")
-    fun stillOut(
-        name: String,
-        millis: Int,
-    ) {
+    fun stillOut(name: String, millis: Int) {
         val until = System.nanoTime() + millis * 1_000_000L
         while (System.nanoTime() < until) {
             fleet.dumps().forEach { assertTrue(it.contains("\"dataCentresOut\":[\"$name\"]"), it) }
@@ -208,10 +201,7 @@
     fun stillRuns(name: String) = assertTrue(fleet.isRunning(name), "$name ended: ${fleet.process(name).outputText().takeLast(400)}")
 
     @Then("the process {string} has ended with exit code {int}")
-    fun ended(
-        name: String,
-        code: Int,
-    ) {
+    fun ended(name: String, code: Int) {
         assertTrue(fleet.process(name).awaitExit(20_000), "$name still runs")
         assertEquals(code, fleet.process(name).exitCode, fleet.process(name).outputText().takeLast(400))
     }
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/StreamSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/StreamSteps.kt
@@ -8,6 +8,7 @@
 import java.net.InetAddress
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
 import kotlin.test.assertEquals
@@ -27,6 +28,7 @@
     private var tokens = 0
     private val background = mutableListOf<CompletableFuture<Reply>>()
     private var requestsAtChange = 0
+    private val callerByEntry = ConcurrentHashMap<String, Caller>()
     private val notWholeOrForeign = ConcurrentLinkedQueue<Reply.Whole>()
 
     @Before
@@ -41,19 +43,13 @@
     }
 
     @Given("{int} callers stream answers of {int} tokens")
-    fun stream(
-        callers: Int,
-        tokens: Int,
-    ) {
+    fun stream(callers: Int, tokens: Int) {
         this.tokens = tokens
-        load = Load(callers) { checked(readyEntryUrl(it), "question ${it % 30} of the desk") }.start()
+        load = Load(callers) { checked(readyEntry(it), "question ${it % 30} of the desk") }.start()
     }
 
-    private fun checked(
-        url: String,
-        prompt: String,
-    ): Reply {
-        val reply = caller.chat(url, prompt, tokens)
+    private fun checked(entry: EntryNode, prompt: String): Reply {
+        val reply = callerOf(entry).chat(entry.url, prompt, tokens)
         if (reply is Reply.Whole && !reply.isWholeStream(prompt, tokens)) notWholeOrForeign += reply
         return reply
     }
@@ -66,26 +62,18 @@
         entry: Int,
     ) {
         this.tokens = tokens
-        val url = Site.entry(entry).url
-        repeat(callers * answers) { background += CompletableFuture.supplyAsync { checked(url, "long answer $it") } }
+        repeat(callers * answers) { background += CompletableFuture.supplyAsync { checked(Site.entry(entry), "long answer $it") } }
         Thread.sleep(START_OF_STREAM_MILLIS)
     }
 
     @When("{int} callers stream {int} answers through entry {int}")
-    fun streamThrough(
-        callers: Int,
-        answers: Int,
-        entry: Int,
-    ) {
+    fun streamThrough(callers: Int, answers: Int, entry: Int) {
         requestsAtChange = fleet.requestsIn(fleet.plan.dataCentres.first())
         repeat(callers * answers) { assertIs<Reply.Whole>(caller.chat(Site.entry(entry).url, "short $it", 5)) }
     }
 
     @When("a client asks entry {int} for {int} tokens and never reads")
-    fun neverRead(
-        entry: Int,
-        tokens: Int,
-    ) {
+    fun neverRead(entry: Int, tokens: Int) {
         val body = """{"model":"$MODEL_SERVICE","messages":[],"max_tokens":$tokens,"stream":true}"""
         val socket = Socket(InetAddress.getLoopbackAddress(), Site.entry(entry).callerPort)
         val head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nJaybeam-Organisation: slow\r\nContent-Length: ${body.length}\r\n\r\n"
@@ -125,7 +113,12 @@
         fleet.process(entry.instance).terminate()
     }
 
-    private fun startsOf(entry: EntryNode) = fleet.process(entry.instance).outputText().split("PROCESS_STARTED").size
+    private fun startsOf(entry: EntryNode) =
+        fleet
+            .process(entry.instance)
+            .outputText()
+            .split("PROCESS_STARTED")
+            .size
 
     @When("the target of {string} falls back into cold start")
     fun fallBack(instance: String) = fleet.control(Site.target(instance).targetUrl, """{"fallBackCold": true}""")
@@ -149,18 +142,12 @@
     }
 
     @Then("after {int} ms no new work reaches data centre {string} for {int} ms")
-    fun noNewWork(
-        afterMillis: Int,
-        dataCentre: String,
-        forMillis: Int,
-    ) = assertQuiet(afterMillis, forMillis) { fleet.requestsIn(dataCentre) }
+    fun noNewWork(afterMillis: Int, dataCentre: String, forMillis: Int) =
+        assertQuiet(afterMillis, forMillis) { fleet.requestsIn(dataCentre) }
 
     @Then("after {int} ms no new work reaches target {string} for {int} ms")
-    fun noNewWorkAt(
-        afterMillis: Int,
-        instance: String,
-        forMillis: Int,
-    ) = assertQuiet(afterMillis, forMillis) { fleet.requestsAt(Site.target(instance)) }
+    fun noNewWorkAt(afterMillis: Int, instance: String, forMillis: Int) =
+        assertQuiet(afterMillis, forMillis) { fleet.requestsAt(Site.target(instance)) }
 
     @Then("within 4 s new work reaches data centre {string}")
     fun newWork(dataCentre: String) {
@@ -192,11 +179,7 @@
         assertTrue("event: error" in reply.partial, reply.partial.takeLast(300))
     }
 
-    private fun assertQuiet(
-        afterMillis: Int,
-        forMillis: Int,
-        count: () -> Int,
-    ) {
+    private fun assertQuiet(afterMillis: Int, forMillis: Int, count: () -> Int) {
         Thread.sleep(afterMillis.toLong())
         val before = count()
         assertNotEquals(0, before, "no work was there before, so the scenario shows nothing")
@@ -204,11 +187,17 @@
         assertEquals(before, count())
     }
 
-    /** The platform's balancer gives callers only entries that are ready. */
-    private fun readyEntryUrl(sequence: Int): String {
-        val ready = fleet.entries.filter { fleet.get("${it.adminUrl}/readyz") != null }
-        return if (ready.isEmpty()) fleet.entryUrl(sequence) else ready[sequence % ready.size].url
+    /**
+     * The platform's balancer gives callers only entries that are ready, and drops its idle connections to one that is
+     * not. A trace showed that a caller that keeps such a connection sends on it two seconds after the entry closed it.
+     */
+    private fun readyEntry(sequence: Int): EntryNode {
+        val (ready, leaving) = fleet.entries.partition { fleet.get("${it.adminUrl}/readyz") != null }
+        leaving.forEach { callerByEntry[it.instance] = Caller() }
+        return if (ready.isEmpty()) fleet.entries[sequence % fleet.entries.size] else ready[sequence % ready.size]
     }
+
+    private fun callerOf(entry: EntryNode) = callerByEntry.computeIfAbsent(entry.instance) { Caller() }
 }
 
 private const val START_OF_STREAM_MILLIS = 400L
@@ -220,5 +209,9 @@
 /** Returns how many requests [target] has received. */
 internal fun Fleet.requestsAt(target: TargetPair): Int {
     val report = get("${target.targetUrl}/control/report").orEmpty()
-    return Regex("\"requests\":(\\d+)").find(report)?.groupValues?.get(1)?.toInt() ?: 0
+    return Regex("\"requests\":(\\d+)")
+        .find(report)
+        ?.groupValues
+        ?.get(1)
+        ?.toInt() ?: 0
 }
--- a/side/src/main/kotlin/io/jaybeam/side/AnswerBuffer.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/AnswerBuffer.kt
@@ -108,7 +108,7 @@
         lock.withLock {
             val subscriber = subscribers.firstOrNull { it.requestId == requestId && it.attemptId == attemptId } ?: return@withLock
             subscriber.acked = maxOf(subscriber.acked, minOf(chunkCount, subscriber.next))
-        if (state is AnswerState.Whole && subscriber.endSent && chunkCount >= count) acknowledgedWhole = true
+            if (state is AnswerState.Whole && subscriber.endSent && chunkCount >= count) acknowledgedWhole = true
             trim()
             pump()
             acknowledged.signalAll()
@@ -208,10 +208,7 @@
             }
     }
 
-    private fun tellBroken(
-        subscriber: Subscriber,
-        end: AnswerState.Broken,
-    ): Boolean {
+    private fun tellBroken(subscriber: Subscriber, end: AnswerState.Broken): Boolean {
         brokenTold = subscriber.link.send(Frame.Broken(subscriber.requestId, subscriber.attemptId, end.detail)) || brokenTold
         return brokenTold
     }
--- a/side/src/main/kotlin/io/jaybeam/side/MapController.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/MapController.kt
@@ -88,20 +88,12 @@
         }
     }
 
-    private fun give(
-        read: ReportedGroup,
-        numbers: MapVersions,
-        orders: List<RankOrder>,
-    ): Long {
+    private fun give(read: ReportedGroup, numbers: MapVersions, orders: List<RankOrder>): Long {
         orders.forEach { group.give(it, read.incarnation, numbers.fence, goal?.map.orEmpty()) }
         return if (orders.all { it is RankOrder.Prepare }) PREPARE_MILLIS else ROUND_MILLIS
     }
 
-    private fun settled(
-        read: ReportedGroup,
-        version: Long,
-        numbers: MapVersions,
-    ): Long {
+    private fun settled(read: ReportedGroup, version: Long, numbers: MapVersions): Long {
         if (goal?.version == version) events.write(LogEvent.MAP_CHANGED, LogField("version", "$version"))
         goal = null
         settledVersion = version
@@ -109,10 +101,7 @@
         return IDLE_MILLIS
     }
 
-    private fun plan(
-        read: ReportedGroup,
-        numbers: MapVersions,
-    ) {
+    private fun plan(read: ReportedGroup, numbers: MapVersions) {
         val placement = bundle()?.expertPlacement ?: return
         val experts = group.expertsOrNull() ?: return
         val current = ExpertMap(placement.slotsPerRank, read.ranks.first().map)
@@ -124,10 +113,7 @@
     }
 
     /** Another side left ranks at different versions: all move on to the newest map, under a version of this side's. */
-    private fun finishForeignChange(
-        read: ReportedGroup,
-        numbers: MapVersions,
-    ): Long {
+    private fun finishForeignChange(read: ReportedGroup, numbers: MapVersions): Long {
         val newest = read.ranks.maxBy { it.version }
         val version = numbers.next()
         if (version < newest.version) return IDLE_MILLIS
@@ -138,7 +124,11 @@
     /** Gives up a change whose weights do not arrive, while every rank still runs at the old version. */
     private fun abandonIfStuck(read: ReportedGroup) {
         val stuck = goal ?: return
-        val untouched = read.ranks.map { it.version }.toSet().size == 1 && read.ranks.none { it.held }
+        val untouched =
+            read.ranks
+                .map { it.version }
+                .toSet()
+                .size == 1 && read.ranks.none { it.held }
         if (!untouched || monotonicMillis() - stuck.setAtMillis < ABANDON_MILLIS) return
         events.write(LogEvent.MAP_CHANGE_ABANDONED, LogField("version", "${stuck.version}"))
         goal = null
--- a/side/src/main/kotlin/io/jaybeam/side/RankGroupClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/RankGroupClient.kt
@@ -80,7 +80,12 @@
             }
         val body = OrderBody(incarnation, fence, order.expected, versionOf(order), map)
         val text = json.encodeToString(OrderBody.serializer(), body)
-        val request = Request.Builder().url("$baseUrl/ranks/${order.rank}/$action").post(text.toRequestBody("application/json".toMediaType()))
+        val request =
+            Request
+                .Builder()
+                .url(
+                    "$baseUrl/ranks/${order.rank}/$action",
+                ).post(text.toRequestBody("application/json".toMediaType()))
         try {
             client.newCall(request.build()).execute().close()
         } catch (e: IOException) {
@@ -95,10 +100,7 @@
             is RankOrder.Hold, is RankOrder.Resume -> order.expected
         }
 
-    private fun <T> get(
-        path: String,
-        serializer: KSerializer<T>,
-    ): T? =
+    private fun <T> get(path: String, serializer: KSerializer<T>): T? =
         try {
             client.newCall(Request.Builder().url(baseUrl + path).build()).execute().use { response ->
                 if (response.isSuccessful) json.decodeFromString(serializer, response.body.string()) else null
--- a/side/src/main/kotlin/io/jaybeam/side/SideProcess.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/SideProcess.kt
@@ -17,6 +17,7 @@
 import io.jaybeam.platform.observe.metricsRegistry
 import io.jaybeam.platform.settings.ServingProcess
 import io.jaybeam.wire.Frame
+import io.jaybeam.wire.HEARTBEAT_MILLIS
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkHandler
 import io.jaybeam.wire.LinkRuntime
@@ -30,7 +31,6 @@
 import kotlin.concurrent.thread
 import kotlin.time.Clock
 
-private const val HEARTBEAT_MILLIS = 250L
 private const val HEALTH_MILLIS = 200L
 private const val DRAIN_POLL_MILLIS = 20L
 private const val LINGER_MILLIS = 300L
--- a/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
@@ -14,7 +14,6 @@
 import okhttp3.EventListener
 import okhttp3.Headers
 import okhttp3.MediaType.Companion.toMediaTypeOrNull
-import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
@@ -55,7 +54,11 @@
 internal class TargetClient(
     private val baseUrl: String,
 ) {
-    private val calls = singleAttemptClient(HttpTimeouts(readMillis = 0))
+    private val calls =
+        singleAttemptClient(HttpTimeouts(readMillis = 0))
+            .newBuilder()
+            .eventListenerFactory { call -> SentListener(call.request().tag(AtomicBoolean::class.java)) }
+            .build()
     private val probes = singleAttemptClient(HttpTimeouts(HEALTH_TIMEOUT_MILLIS, HEALTH_TIMEOUT_MILLIS, HEALTH_TIMEOUT_MILLIS))
 
     /** Returns the target's health, or null if it does not answer. */
@@ -70,10 +73,18 @@
             TargetHealth()
         }
 
+    /** Drops idle connections, which a target that started again has closed. */
+    fun dropIdleConnections() {
+        calls.connectionPool.evictAll()
+    }
+
     /** Prepares the call for [execute]. */
-    fun prepare(execute: Frame.Execute): TargetCall = TargetCall(calls, request(execute))
+    fun prepare(execute: Frame.Execute): TargetCall {
+        val sent = AtomicBoolean()
+        return TargetCall(calls.newCall(request(execute, sent)), sent)
+    }
 
-    private fun request(execute: Frame.Execute): Request {
+    private fun request(execute: Frame.Execute, sent: AtomicBoolean): Request {
         val headers = Headers.Builder()
         execute.headers.filter { it.name.lowercase() !in hopByHop }.forEach { headers.addUnsafeNonAscii(it.name, it.value) }
         execute.tier?.let { headers["Jaybeam-Tier"] = it }
@@ -89,26 +100,25 @@
             .url(baseUrl + execute.path)
             .headers(headers.build())
             .method(execute.method, body)
+            .tag(AtomicBoolean::class.java, sent)
             .build()
     }
 }
 
-/** One call to the target. */
+/** Notes when a call begins to send its request. */
+private class SentListener(
+    private val sent: AtomicBoolean?,
+) : EventListener() {
+    override fun requestHeadersStart(call: Call) {
+        sent?.set(true)
+    }
+}
+
+/** One call to the target; [sent] turns true when its request begins to be sent. */
 internal class TargetCall(
-    client: OkHttpClient,
-    request: Request,
+    private val call: Call,
+    private val sent: AtomicBoolean,
 ) {
-    private val sent = AtomicBoolean()
-    private val call: Call =
-        client
-            .newBuilder()
-            .eventListener(
-                object : EventListener() {
-                    override fun requestHeadersStart(call: Call) = sent.set(true)
-                },
-            ).build()
-            .newCall(request)
-
     /** Runs the call to its end; [onHead] and [onBytes] get the answer as it comes. */
     fun run(onHead: (Int, List<HeaderField>) -> Unit, onBytes: (ByteArray) -> Unit): CallEnd =
         try {
--- a/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
@@ -32,6 +32,7 @@
     val inFlight: Int = 0,
     val queued: Int = 0,
     val limit: Int = 0,
+    val stepMillis: Double = 0.0,
     val tickets: Int = 0,
     val kept: Int = 0,
     val leaving: Boolean = false,
@@ -91,7 +92,7 @@
     /** Returns the frame that tells entries how loaded the target is. */
     fun loadReport(): Frame.Load {
         val now = snapshot
-        return Frame.Load(now.inFlight, now.queued, now.limit, now.leaving || !now.inService)
+        return Frame.Load(now.inFlight, now.queued, now.limit, now.stepMillis, now.leaving || !now.inService)
     }
 
     private fun handle(message: WorkMessage) {
@@ -260,6 +261,7 @@
             }
 
             is TargetChange.Started -> {
+                target.dropIdleConnections()
                 if (change.crashed && before != null) crash()
                 watch.observe(health, hasRunning = false)
                 admission.onCold(monotonicMillis())
@@ -339,6 +341,7 @@
                 inFlight = admission.inFlight,
                 queued = queue.size,
                 limit = admission.limitAt(monotonicMillis()),
+                stepMillis = admission.usualStepMillis,
                 tickets = ledger.size,
                 kept = store.size,
                 leaving = leaving,
--- a/standins/src/main/kotlin/io/jaybeam/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/io/jaybeam/standins/EngineStandIn.kt
@@ -162,7 +162,9 @@
     private fun stream(context: Context, tokens: Int) {
         val response = context.res()
         response.contentType = "text/event-stream"
-        response.outputStream.write("data: {\"echo\":${context.body().length},\"hash\":${context.body().hashCode()}}\n\n".encodeToByteArray())
+        response.outputStream.write(
+            "data: {\"echo\":${context.body().length},\"hash\":${context.body().hashCode()}}\n\n".encodeToByteArray(),
+        )
         var seen = group.stepCount
         repeat(tokens) { index ->
             seen = group.awaitStep(seen)
--- a/standins/src/main/kotlin/io/jaybeam/standins/InstanceListStandIn.kt
+++ b/standins/src/main/kotlin/io/jaybeam/standins/InstanceListStandIn.kt
@@ -4,6 +4,7 @@
 package io.jaybeam.standins
 
 import io.javalin.apibuilder.ApiBuilder
+import io.javalin.http.Context
 import kotlinx.serialization.Serializable
 
 /** One listed instance. */
@@ -46,11 +47,22 @@
             ApiBuilder.post("/control") { faults = it.read(ListFaults.serializer()) }
             ApiBuilder.put("/instances") { put(it.read(Listing.serializer())) }
             ApiBuilder.get("/instances") {
-                if (faults.outage) it.status(503) else it.answer(Listing.serializer(), current())
+                if (faults.outage) it.status(503) else answer(it)
             }
         }
     }
 
+    private fun answer(context: Context) {
+        val version = current()
+        val tag = "\"${version?.atNanos ?: 0}\""
+        context.header("ETag", tag)
+        if (context.header("If-None-Match") == tag) {
+            context.status(304)
+        } else {
+            context.answer(Listing.serializer(), version?.listing ?: Listing(emptyList()))
+        }
+    }
+
     @Synchronized
     private fun put(listing: Listing) {
         versions.addLast(Version(System.nanoTime(), listing))
@@ -58,9 +70,9 @@
     }
 
     @Synchronized
-    private fun current(): Listing {
+    private fun current(): Version? {
         val asOf = System.nanoTime() - faults.lagMillis * 1_000_000
-        return versions.lastOrNull { it.atNanos <= asOf }?.listing ?: versions.firstOrNull()?.listing ?: Listing(emptyList())
+        return versions.lastOrNull { it.atNanos <= asOf } ?: versions.firstOrNull()
     }
 }
 
--- a/standins/src/main/kotlin/io/jaybeam/standins/RankGroup.kt
+++ b/standins/src/main/kotlin/io/jaybeam/standins/RankGroup.kt
@@ -90,10 +90,7 @@
     fun stall(rank: Int, millis: Long) = lock.withLock { ranks[rank].stallMillis = millis }
 
     /** Starts to load the weights of a map; the rank is prepared once they are there. */
-    fun prepare(
-        rank: Int,
-        order: RankOrder,
-    ): Boolean =
+    fun prepare(rank: Int, order: RankOrder): Boolean =
         obey(rank, order) {
             if (it.preparing != order.version) {
                 it.preparing = order.version
@@ -102,10 +99,7 @@
             true
         }
 
-    private fun load(
-        rank: Rank,
-        order: RankOrder,
-    ) {
+    private fun load(rank: Rank, order: RankOrder) {
         loadWeights(rank.map.zip(order.map).count { (before, after) -> before != after } / ranks.size + 1)
         lock.withLock {
             if (rank.preparing != order.version) return
--- a/wire/src/main/kotlin/io/jaybeam/wire/FrameCodec.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/FrameCodec.kt
@@ -23,6 +23,7 @@
     private val cbor =
         Cbor {
             ignoreUnknownKeys = true
+            preferCborLabelsOverNames = true
         }
 
     /** Returns the CBOR bytes of [frame]. */
--- a/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
@@ -1,5 +1,6 @@
 /*
- * The messages between entries and sides. Every frame is one CBOR value behind a 4-byte big-endian length.
+ * The messages between entries and sides. Every frame is one CBOR value behind a 4-byte big-endian length. Names are
+ * short and fields have number labels, since heartbeats of many links share a small budget of bytes.
  * `requestId` names a request, `attemptId` one try of it; frames of an abandoned attempt are dropped.
  */
 package io.jaybeam.wire
@@ -12,6 +13,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.CborLabel
 
 /** Version of this protocol; peers of another version are refused. */
 public const val PROTOCOL_VERSION: Int = 1
@@ -28,147 +30,148 @@
 public sealed class Frame {
     /** First frame of both ends. */
     @Serializable
-    @SerialName("hello")
+    @SerialName("hi")
     public data class Hello(
-        val protocolVersion: Int,
-        val identity: TargetIncarnation,
-        val dataCentre: String,
-        val service: String?,
-        val configVersion: Long,
+        @CborLabel(1) val protocolVersion: Int,
+        @CborLabel(2) val identity: TargetIncarnation,
+        @CborLabel(3) val dataCentre: String,
+        @CborLabel(4) val service: String?,
+        @CborLabel(5) val configVersion: Long,
     ) : Frame()
 
     /** Shows that the sender lives, and the configuration version it holds. */
     @Serializable
-    @SerialName("heartbeat")
+    @SerialName("hb")
     public data class Heartbeat(
-        val configVersion: Long,
+        @CborLabel(1) val configVersion: Long,
     ) : Frame()
 
     /** Asks the peer for what changed after [sinceVersion]. */
     @Serializable
-    @SerialName("configRequest")
+    @SerialName("cq")
     public data class ConfigRequest(
-        val sinceVersion: Long,
+        @CborLabel(1) val sinceVersion: Long,
     ) : Frame()
 
     /** Answers [ConfigRequest]. */
     @Serializable
-    @SerialName("configChanges")
+    @SerialName("cc")
     public data class ConfigChanges(
-        val sinceVersion: Long,
-        val version: Long,
-        val changes: List<AcceptedChange>,
+        @CborLabel(1) val sinceVersion: Long,
+        @CborLabel(2) val version: Long,
+        @CborLabel(3) val changes: List<AcceptedChange>,
     ) : Frame()
 
     /** Asks the side to run a request, or to attach to it where it runs already, from chunk [fromChunk] on. */
     @Serializable
-    @SerialName("execute")
+    @SerialName("ex")
     public data class Execute(
-        val requestId: String,
-        val attemptId: Long,
-        val ticket: Ticket?,
-        val organisation: String,
-        val tier: String?,
-        val method: String,
-        val path: String,
-        val headers: List<HeaderField>,
-        @ByteString val body: ByteArray,
-        val fingerprint: String,
-        val suspect: Boolean,
-        val deadlineMillis: Long,
-        val fromChunk: Int,
-        val attachOnly: Boolean,
+        @CborLabel(1) val requestId: String,
+        @CborLabel(2) val attemptId: Long,
+        @CborLabel(3) val ticket: Ticket?,
+        @CborLabel(4) val organisation: String,
+        @CborLabel(5) val tier: String?,
+        @CborLabel(6) val method: String,
+        @CborLabel(7) val path: String,
+        @CborLabel(8) val headers: List<HeaderField>,
+        @CborLabel(9) @ByteString val body: ByteArray,
+        @CborLabel(10) val fingerprint: String,
+        @CborLabel(11) val suspect: Boolean,
+        @CborLabel(12) val deadlineMillis: Long,
+        @CborLabel(13) val fromChunk: Int,
+        @CborLabel(14) val attachOnly: Boolean,
     ) : Frame()
 
     /** The entry has passed on all chunks before [chunkCount]. */
     @Serializable
-    @SerialName("ack")
+    @SerialName("ak")
     public data class Ack(
-        val requestId: String,
-        val attemptId: Long,
-        val chunkCount: Int,
+        @CborLabel(1) val requestId: String,
+        @CborLabel(2) val attemptId: Long,
+        @CborLabel(3) val chunkCount: Int,
     ) : Frame()
 
     /** The entry gives the attempt up. */
     @Serializable
-    @SerialName("cancel")
+    @SerialName("cn")
     public data class Cancel(
-        val requestId: String,
-        val attemptId: Long,
+        @CborLabel(1) val requestId: String,
+        @CborLabel(2) val attemptId: Long,
     ) : Frame()
 
     /** Status and headers of the target's answer. */
     @Serializable
-    @SerialName("head")
+    @SerialName("hd")
     public data class Head(
-        val requestId: String,
-        val attemptId: Long,
-        val status: Int,
-        val headers: List<HeaderField>,
+        @CborLabel(1) val requestId: String,
+        @CborLabel(2) val attemptId: Long,
+        @CborLabel(3) val status: Int,
+        @CborLabel(4) val headers: List<HeaderField>,
     ) : Frame()
 
     /** Part [index] of the answer's body. */
     @Serializable
-    @SerialName("chunk")
+    @SerialName("ch")
     public data class Chunk(
-        val requestId: String,
-        val attemptId: Long,
-        val index: Int,
-        @ByteString val bytes: ByteArray,
+        @CborLabel(1) val requestId: String,
+        @CborLabel(2) val attemptId: Long,
+        @CborLabel(3) val index: Int,
+        @CborLabel(4) @ByteString val bytes: ByteArray,
     ) : Frame()
 
     /** The answer is whole and has [chunkCount] chunks. */
     @Serializable
-    @SerialName("end")
+    @SerialName("en")
     public data class End(
-        val requestId: String,
-        val attemptId: Long,
-        val chunkCount: Int,
+        @CborLabel(1) val requestId: String,
+        @CborLabel(2) val attemptId: Long,
+        @CborLabel(3) val chunkCount: Int,
     ) : Frame()
 
     /** The request was not handed to the target. With a ticket, the refusal is recorded for good. */
     @Serializable
-    @SerialName("refused")
+    @SerialName("rf")
     public data class Refused(
-        val requestId: String,
-        val attemptId: Long,
-        val reason: RefusalReason,
-        val retryAfterMillis: Long,
+        @CborLabel(1) val requestId: String,
+        @CborLabel(2) val attemptId: Long,
+        @CborLabel(3) val reason: RefusalReason,
+        @CborLabel(4) val retryAfterMillis: Long,
     ) : Frame()
 
     /** The side cannot decide about the ticket and recorded nothing. */
     @Serializable
-    @SerialName("undecided")
+    @SerialName("ud")
     public data class Undecided(
-        val requestId: String,
-        val attemptId: Long,
-        val problem: LedgerProblem,
+        @CborLabel(1) val requestId: String,
+        @CborLabel(2) val attemptId: Long,
+        @CborLabel(3) val problem: LedgerProblem,
     ) : Frame()
 
     /** The request was handed to the target, and its answer was lost. */
     @Serializable
-    @SerialName("broken")
+    @SerialName("br")
     public data class Broken(
-        val requestId: String,
-        val attemptId: Long,
-        val detail: String,
+        @CborLabel(1) val requestId: String,
+        @CborLabel(2) val attemptId: Long,
+        @CborLabel(3) val detail: String,
     ) : Frame()
 
-    /** The target's load. */
+    /** The target's load; [stepMillis] is its usual time between tokens, 0 where it is not known. */
     @Serializable
-    @SerialName("load")
+    @SerialName("ld")
     public data class Load(
-        val inFlight: Int,
-        val queued: Int,
-        val limit: Int,
-        val leaving: Boolean,
+        @CborLabel(1) val inFlight: Int,
+        @CborLabel(2) val queued: Int,
+        @CborLabel(3) val limit: Int,
+        @CborLabel(4) val stepMillis: Double,
+        @CborLabel(5) val leaving: Boolean,
     ) : Frame()
 
     /** Requests in flight at a crash of a target. */
     @Serializable
-    @SerialName("crash")
+    @SerialName("cr")
     public data class Crash(
-        val crashId: String,
-        val fingerprints: List<String>,
+        @CborLabel(1) val crashId: String,
+        @CborLabel(2) val fingerprints: List<String>,
     ) : Frame()
 }
--- a/wire/src/main/kotlin/io/jaybeam/wire/Link.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Link.kt
@@ -43,14 +43,18 @@
 /**
  * Timing of links.
  *
+ * @property checkMillis how often a link is checked for silence.
  * @property silenceMillis a link on which nothing arrives for this long is closed.
  */
 public data class LinkTiming(
-    val heartbeatMillis: Long = 500,
-    val silenceMillis: Long = 2_000,
+    val checkMillis: Long = 250,
+    val silenceMillis: Long = 3_000,
     val connectMillis: Long = 1_000,
 )
 
+/** Time between heartbeats on a link, in milliseconds. */
+public const val HEARTBEAT_MILLIS: Long = 1_000
+
 private const val QUEUE_FRAMES = 4_096
 private const val WIRE_THREADS = 2
 
@@ -73,7 +77,7 @@
         scope.launch {
             while (true) {
                 val socket = server.accept()
-                Link(socket, handlerOf(), this@LinkRuntime, scope).start()
+                SocketLink(socket, handlerOf(), this@LinkRuntime, scope).start()
             }
         }
         return (server.localAddress as InetSocketAddress).port
@@ -95,7 +99,7 @@
                     onFailed(e.message ?: e.toString())
                     return@launch
                 }
-            val link = Link(socket, handler, this@LinkRuntime, scope)
+            val link = SocketLink(socket, handler, this@LinkRuntime, scope)
             onConnected(link)
             link.start()
         }
@@ -108,39 +112,48 @@
     }
 }
 
-/** One open connection. Thread-safe. */
-public class Link internal constructor(
+/** One open connection to a peer. Thread-safe. */
+public interface Link {
+    /** Whether the link still takes frames. */
+    public val isOpen: Boolean
+
+    /** Queues [frame]; returns false if the link is closed. A link whose queue is full is closed. */
+    public fun send(frame: Frame): Boolean
+
+    /** Closes the link at once. */
+    public fun close(reason: String)
+}
+
+/** A link over a socket: one coroutine reads, one drains the bounded queue, one watches for silence. */
+internal class SocketLink(
     private val socket: Socket,
     private val handler: LinkHandler,
     private val runtime: LinkRuntime,
     private val scope: CoroutineScope,
-) {
+) : Link {
     private val outgoing = Channel<Frame>(QUEUE_FRAMES)
     private val closed = AtomicBoolean()
 
     @Volatile
     private var heardAt = TimeSource.Monotonic.markNow()
 
-    /** Whether the link still takes frames. */
-    public val isOpen: Boolean get() = !closed.get()
+    override val isOpen: Boolean get() = !closed.get()
 
-    /** Queues [frame]; returns false if the link is closed. A link whose queue is full is closed. */
-    public fun send(frame: Frame): Boolean {
+    override fun send(frame: Frame): Boolean {
         if (closed.get()) return false
         if (outgoing.trySend(frame).isSuccess) return true
         close("its queue of $QUEUE_FRAMES frames is full")
         return false
     }
 
-    /** Closes the link at once. */
-    public fun close(reason: String) {
+    override fun close(reason: String) {
         if (!closed.compareAndSet(false, true)) return
         outgoing.close()
         socket.close()
         handler.onClosed(this, reason)
     }
 
-    internal fun start() {
+    fun start() {
         scope.launch { guarded("read") { readFrames(socket.openReadChannel()) } }
         scope.launch { guarded("write") { writeFrames(socket.openWriteChannel(autoFlush = false)) } }
         scope.launch { watchSilence() }
@@ -184,7 +197,7 @@
 
     private suspend fun watchSilence() {
         while (!closed.get()) {
-            delay(runtime.timing.heartbeatMillis)
+            delay(runtime.timing.checkMillis)
             val silentMillis = heardAt.elapsedNow().inWholeMilliseconds
             if (silentMillis > runtime.timing.silenceMillis) close("nothing arrived for $silentMillis ms")
         }
