--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/CapacityBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/CapacityBenchmark.kt
@@ -58,10 +58,7 @@
     return made to usedBytes() - before
 }
 
-private fun microsEach(
-    count: Int,
-    action: () -> Unit,
-): Double {
+private fun microsEach(count: Int, action: () -> Unit): Double {
     repeat(WARM_UP) { action() }
     return measureNanoTime(action) / MICROS / count
 }
@@ -121,7 +118,12 @@
         val texts = List(size) { Json.encodeToString(KeyBinding.serializer(), KeyBinding("org", "key-$it", "digest", ticket(it))) }
         val fill = {
             KeyBindings(600_000).also { bindings ->
-                texts.forEachIndexed { index, text -> bindings.fold(index.toLong(), listOf(Json.decodeFromString(KeyBinding.serializer(), text))) }
+                texts.forEachIndexed {
+                    index,
+                    text,
+                    ->
+                    bindings.fold(index.toLong(), listOf(Json.decodeFromString(KeyBinding.serializer(), text)))
+                }
             }
         }
         val (_, bytes) = heapOf(fill)
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/MoveBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/MoveBenchmark.kt
@@ -28,15 +28,22 @@
         )
     printTable(
         "Data centre out and in, engines restarted meanwhile, $CALLERS callers",
-        listOf("policy", "whole", "failed", "p95 ms before", "p95 ms during", "p95 ms after", "empty after ms", "full use after ms", "engines fallen"),
+        listOf(
+            "policy",
+            "whole",
+            "failed",
+            "p95 ms before",
+            "p95 ms during",
+            "p95 ms after",
+            "empty after ms",
+            "full use after ms",
+            "engines fallen",
+        ),
         rows,
     )
 }
 
-private fun move(
-    name: String,
-    plan: FleetPlan,
-): List<String> =
+private fun move(name: String, plan: FleetPlan): List<String> =
     Fleet(plan, ::println).use { fleet ->
         fleet.start()
         phase(fleet, STEADY_MILLIS)
@@ -71,10 +78,7 @@
 
 private fun load(fleet: Fleet) = Load(CALLERS) { Caller().chat(fleet.entries[it % fleet.entries.size].url, "question ${it % 50}", TOKENS) }
 
-private fun phase(
-    fleet: Fleet,
-    millis: Long,
-): Load {
+private fun phase(fleet: Fleet, millis: Long): Load {
     val load = load(fleet).start()
     Thread.sleep(millis)
     return load.stop()
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlacementBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlacementBenchmark.kt
@@ -69,17 +69,10 @@
     )
 }
 
-private fun planner(
-    name: String,
-    maxMoves: Int,
-    minGainPercent: Double,
-) = Policy(name) { map, load -> planPlacement(map, load, PlacementPolicy(maxMoves, minGainPercent))?.map ?: map }
+private fun planner(name: String, maxMoves: Int, minGainPercent: Double) =
+    Policy(name) { map, load -> planPlacement(map, load, PlacementPolicy(maxMoves, minGainPercent))?.map ?: map }
 
-private fun run(
-    policy: Policy,
-    start: ExpertMap,
-    day: List<LayerLoad>,
-): Outcome {
+private fun run(policy: Policy, start: ExpertMap, day: List<LayerLoad>): Outcome {
     val outcome = Outcome()
     var map = start
     day.forEach { load ->
@@ -96,19 +89,17 @@
     return outcome
 }
 
-private fun row(
-    name: String,
-    outcome: Outcome,
-) = listOf(
-    name,
-    format(outcome.skews.average(), 3),
-    format(outcome.skews.max(), 3),
-    format(outcome.overBound.average(), 3),
-    "${outcome.moves}",
-    format(outcome.moves * MEGABYTES_PER_EXPERT / 1_000.0, 1),
-    "${outcome.changes}",
-    "${outcome.slowestPlan.inWholeMilliseconds}",
-)
+private fun row(name: String, outcome: Outcome) =
+    listOf(
+        name,
+        format(outcome.skews.average(), 3),
+        format(outcome.skews.max(), 3),
+        format(outcome.overBound.average(), 3),
+        "${outcome.moves}",
+        format(outcome.moves * MEGABYTES_PER_EXPERT / 1_000.0, 1),
+        "${outcome.changes}",
+        "${outcome.slowestPlan.inWholeMilliseconds}",
+    )
 
 /** Popularity that starts Zipf-like and drifts by small random steps, with ranks that straggle in turn. */
 private fun drift(random: Random): List<LayerLoad> {
@@ -120,10 +111,7 @@
     }
 }
 
-private fun randomMap(
-    load: LayerLoad,
-    random: Random,
-): ExpertMap {
+private fun randomMap(load: LayerLoad, random: Random): ExpertMap {
     val spare = RANKS * SLOTS_PER_RANK - load.expertCount
     val experts = List(load.expertCount) { it } + List(spare) { random.nextInt(load.expertCount) }
     return ExpertMap(SLOTS_PER_RANK, experts.shuffled(random))
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/RoutingBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/RoutingBenchmark.kt
@@ -21,7 +21,17 @@
         val rows = policies(seed).map { policy -> row(policy.name, RoutingModel(policy.make(), load, seed).run()) }
         printTable(
             "Routing at $load% load: $TARGETS targets, one straggler, reports every 1000 ms and 300 ms late, seed $seed",
-            listOf("policy", "first token p95 ms", "token gap p95 ms", "cache hits %", "urgent %", "patient %", "small org %", "answers/s", "retries"),
+            listOf(
+                "policy",
+                "first token p95 ms",
+                "token gap p95 ms",
+                "cache hits %",
+                "urgent %",
+                "patient %",
+                "small org %",
+                "answers/s",
+                "retries",
+            ),
             rows,
         )
     }
@@ -58,10 +68,7 @@
 
 private val TargetView.index: Int get() = identity.instance.drop(1).toInt()
 
-private fun row(
-    name: String,
-    result: ModelResult,
-): List<String> {
+private fun row(name: String, result: ModelResult): List<String> {
     val answersPerSecond = (result.finishedUrgent + result.finishedPatient) / ((RUN_MILLIS - 20_000) / MILLIS_PER_SECOND)
     return listOf(
         name,
@@ -78,7 +85,4 @@
 
 private fun p95(values: List<Double>): Double = values.sorted()[(values.size * 0.95).toInt().coerceAtMost(values.size - 1)]
 
-private fun percent(
-    part: Int,
-    whole: Int,
-) = format(100.0 * part / maxOf(whole, 1), 1)
+private fun percent(part: Int, whole: Int) = format(100.0 * part / maxOf(whole, 1), 1)
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/RoutingModel.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/RoutingModel.kt
@@ -55,10 +55,7 @@
 
 /** Chooses a target's index for a request from an entry's views. */
 internal fun interface ModelPolicy {
-    fun pick(
-        views: List<TargetView>,
-        request: ModelRequest,
-    ): Int?
+    fun pick(views: List<TargetView>, request: ModelRequest): Int?
 }
 
 /** What a run came to. */
@@ -130,10 +127,7 @@
         return result
     }
 
-    private fun at(
-        millis: Double,
-        action: () -> Unit,
-    ) {
+    private fun at(millis: Double, action: () -> Unit) {
         events += Event(millis, action)
     }
 
@@ -182,19 +176,17 @@
         at(now + 1) { send(request) }
     }
 
-    private fun view(
-        entry: ModelEntry,
-        index: Int,
-    ) = TargetView(
-        identity = TargetIncarnation("t$index", "a"),
-        service = "chat",
-        dataCentre = "dc",
-        limit = PLACES,
-        reportedInFlight = entry.reported[index],
-        sentSinceReport = entry.sent[index],
-        reportAgeMillis = (now - entry.reportedAt[index]).toLong(),
-        stepMillis = entry.reportedStep[index],
-    )
+    private fun view(entry: ModelEntry, index: Int) =
+        TargetView(
+            identity = TargetIncarnation("t$index", "a"),
+            service = "chat",
+            dataCentre = "dc",
+            limit = PLACES,
+            reportedInFlight = entry.reported[index],
+            sentSinceReport = entry.sent[index],
+            reportAgeMillis = (now - entry.reportedAt[index]).toLong(),
+            stepMillis = entry.reportedStep[index],
+        )
 
     private fun report(target: ModelTarget) {
         val load = target.inFlight + target.queue.size
@@ -219,10 +211,7 @@
         }
     }
 
-    private fun start(
-        target: ModelTarget,
-        request: ModelRequest,
-    ) {
+    private fun start(target: ModelTarget, request: ModelRequest) {
         target.inFlight += 1
         val hit = target.cached(request.prefix)
         val step = target.stepMillis()
@@ -236,10 +225,7 @@
         at(firstAt + step * (TOKENS - 1)) { finish(target, request) }
     }
 
-    private fun finish(
-        target: ModelTarget,
-        request: ModelRequest,
-    ) {
+    private fun finish(target: ModelTarget, request: ModelRequest) {
         target.inFlight -= 1
         val inWindow = request.arrivedMillis > SETTLE_MILLIS && request.arrivedMillis < RUN_MILLIS - SETTLE_MILLIS
         if (inWindow) {
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/SystemBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/SystemBenchmark.kt
@@ -94,11 +94,7 @@
 
 private const val TOKENS = 20
 
-private fun measured(
-    name: String,
-    callers: Int,
-    send: (Int) -> io.jaybeam.scenarios.Reply,
-): List<String> {
+private fun measured(name: String, callers: Int, send: (Int) -> io.jaybeam.scenarios.Reply): List<String> {
     Load(callers, send).start().also { Thread.sleep(WARM_MILLIS) }.stop()
     val load = Load(callers, send).start()
     Thread.sleep(MEASURE_MILLIS)
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/Table.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/Table.kt
@@ -4,11 +4,7 @@
 package io.jaybeam.benchmark
 
 /** Prints [rows] under [header], columns aligned. */
-internal fun printTable(
-    title: String,
-    header: List<String>,
-    rows: List<List<String>>,
-) {
+internal fun printTable(title: String, header: List<String>, rows: List<List<String>>) {
     val widths = header.indices.map { column -> (rows + listOf(header)).maxOf { it[column].length } }
     println("\n$title")
     (listOf(header) + rows).forEach { row ->
@@ -17,7 +13,4 @@
 }
 
 /** Returns [value] with [digits] digits after the point. */
-internal fun format(
-    value: Double,
-    digits: Int = 2,
-): String = "%.${digits}f".format(value)
+internal fun format(value: Double, digits: Int = 2): String = "%.${digits}f".format(value)
--- a/core/src/main/kotlin/io/jaybeam/core/ticket/RequestLedger.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/ticket/RequestLedger.kt
@@ -9,9 +9,6 @@
     /** The target has as much work as it bears. */
     OVER_LIMIT,
 
-    /** The target has not warmed up yet. */
-    COLD,
-
     /** The target or its side process is stopping. */
     LEAVING,
 
@@ -21,12 +18,6 @@
     /** The request waited in the queue longer than its price tier allows. */
     WAITED_TOO_LONG,
 
-    /** The request is quarantined after crashing targets. */
-    QUARANTINED,
-
-    /** The target serves another service. */
-    WRONG_SERVICE,
-
     /** The process has no configuration yet. */
     NOT_READY,
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/forward/Refusals.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/forward/Refusals.kt
@@ -45,12 +45,9 @@
 internal fun RefusalReason.describe(): String =
     when (this) {
         RefusalReason.OVER_LIMIT -> "targets have as much work as they bear"
-        RefusalReason.COLD -> "targets are warming up"
         RefusalReason.LEAVING -> "targets are stopping"
         RefusalReason.OUT_OF_SERVICE -> "operators took the targets out of service"
         RefusalReason.WAITED_TOO_LONG -> "the request waited longer than its price tier allows"
-        RefusalReason.QUARANTINED -> "the request is quarantined"
-        RefusalReason.WRONG_SERVICE -> "targets serve another service"
         RefusalReason.NOT_READY -> "targets have no configuration yet"
         RefusalReason.TARGET_DOWN -> "targets do not take connections"
     }
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Caller.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Caller.kt
@@ -61,9 +61,7 @@
         prompt: String,
         tokens: Int,
         options: CallOptions = CallOptions(),
-    ): Reply {
-        return post("$entryUrl/v1/chat/completions", chatBody(prompt, tokens), options)
-    }
+    ): Reply = post("$entryUrl/v1/chat/completions", chatBody(prompt, tokens), options)
 
     /** Sends a booking. */
     public fun book(entryUrl: String, options: CallOptions): Reply =
@@ -84,11 +82,7 @@
         }
     }
 
-    private fun read(
-        response: Response,
-        received: StringBuilder,
-        startNanos: Long,
-    ): Reply {
+    private fun read(response: Response, received: StringBuilder, startNanos: Long): Reply {
         var firstNanos = 0L
         val buffer = ByteArray(BUFFER_BYTES)
         val stream = response.body.byteStream()
@@ -123,16 +117,11 @@
 private const val LAST_EVENT = "data: [DONE]\n\n"
 
 /** Returns the body of a request for a streamed answer of [tokens] tokens. */
-private fun chatBody(
-    prompt: String,
-    tokens: Int,
-) = """{"model":"$MODEL_SERVICE","messages":[{"role":"user","content":"$prompt"}],"max_tokens":$tokens,"stream":true}"""
+private fun chatBody(prompt: String, tokens: Int) =
+    """{"model":"$MODEL_SERVICE","messages":[{"role":"user","content":"$prompt"}],"max_tokens":$tokens,"stream":true}"""
 
 /** Returns whether this is the stand-in engine's answer to exactly this request: its echo, every token in order, the end. */
-public fun Reply.Whole.isWholeStream(
-    prompt: String,
-    tokens: Int,
-): Boolean {
+public fun Reply.Whole.isWholeStream(prompt: String, tokens: Int): Boolean {
     val request = chatBody(prompt, tokens)
     val echo = "data: {\"echo\":${request.length},\"hash\":${request.hashCode()}}\n\n"
     val content = (0 until tokens).joinToString("") { "data: {\"choices\":[{\"delta\":{\"content\":\"t$it \"}}]}\n\n" }
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/FaultyRelay.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/FaultyRelay.kt
@@ -92,11 +92,7 @@
         thread(isDaemon = true) { pump(pair, far, near) }
     }
 
-    private fun pump(
-        pair: Pair,
-        from: Socket,
-        to: Socket,
-    ) {
+    private fun pump(pair: Pair, from: Socket, to: Socket) {
         try {
             val buffer = ByteArray(BUFFER_BYTES)
             while (true) {
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
@@ -176,19 +176,13 @@
     }
 
     /** Takes [instance] in or out of service by a signed change in the log. */
-    public fun setInstance(
-        instance: String,
-        inService: Boolean,
-    ) {
+    public fun setInstance(instance: String, inService: Boolean) {
         val base = itemVersion(ConfigItem(ConfigItemKind.INSTANCE, instance))
         append(ConfigChange.SetInstance("set-$instance-$base", base, "desk", instance, inService))
     }
 
     /** Takes data centre [name] in or out of service by a signed change in the log. */
-    public fun setDataCentre(
-        name: String,
-        inService: Boolean,
-    ) {
+    public fun setDataCentre(name: String, inService: Boolean) {
         val base = itemVersion(ConfigItem(ConfigItemKind.DATA_CENTRE, name))
         append(ConfigChange.SetDataCentre("set-$name-$base", base, "desk", name, inService))
     }
@@ -245,7 +239,7 @@
         val kind = if (target.service == MODEL_SERVICE) "MODEL" else "PLAIN"
         val text =
             """{${common(target.instance, target.dataCentre, adminPort)}, "linkPort": $linkPort,
-            "target": {"url": "${target.targetUrl}", "service": "${target.service}", "kind": "$kind", "orderFencing": true}}"""
+            "target": {"url": "${target.targetUrl}", "service": "${target.service}", "kind": "$kind"}}"""
         launch(name, SIDE_MAIN, listOf("--settings", settingsFile(name, text)))
     }
 
@@ -301,10 +295,7 @@
     }
 
     /** Sends [json] to [url]. */
-    public fun post(
-        url: String,
-        json: String,
-    ) {
+    public fun post(url: String, json: String) {
         send("POST", url, json)
     }
 
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/ExpertMapSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/ExpertMapSteps.kt
@@ -20,11 +20,7 @@
     private val drifting = AtomicBoolean()
 
     @Given("a site with {int} entries and {int} model targets with {word} ranks")
-    fun site(
-        entries: Int,
-        models: Int,
-        kind: String,
-    ) {
+    fun site(entries: Int, models: Int, kind: String) {
         val profile =
             """{"fenced": ${kind == "fenced"}, "ranks": 4, "experts": $EXPERTS, "slotsPerRank": 3,
             "weightsUrl": "${FleetPlan.WEIGHTS_PLACEHOLDER}"}"""
@@ -51,21 +47,13 @@
     fun weights(bytesPerSecond: Int) = fleet.control(fleet.weightsUrl, """{"bytesPerSecond": $bytesPerSecond}""")
 
     @When("experts {int} and {int} of target {string} become popular")
-    fun popular(
-        first: Int,
-        second: Int,
-        instance: String,
-    ) {
+    fun popular(first: Int, second: Int, instance: String) {
         val loads = List(EXPERTS) { if (it == first || it == second) 8.0 else 1.0 }
         fleet.control("${Site.target(instance).targetUrl}/control/experts", loads)
     }
 
     @When("the side of {string} is killed and started again {int} times, {int} ms apart")
-    fun killAgain(
-        instance: String,
-        times: Int,
-        millis: Int,
-    ) {
+    fun killAgain(instance: String, times: Int, millis: Int) {
         repeat(times) {
             Thread.sleep(millis.toLong())
             fleet.process("side-$instance").kill()
@@ -77,10 +65,8 @@
     fun replacement(instance: String) = fleet.startReplacement(Site.target(instance))
 
     @Then("within 10 s the ranks of {string} run a newer map than {int}")
-    fun newerMap(
-        instance: String,
-        version: Int,
-    ) = fleet.awaitTrue("a newer map", MAP_MILLIS) { versions(instance).let { it.size == 1 && it.single() > version } }
+    fun newerMap(instance: String, version: Int) =
+        fleet.awaitTrue("a newer map", MAP_MILLIS) { versions(instance).let { it.size == 1 && it.single() > version } }
 
     @Then("no step of {string} was mixed")
     fun notMixed(instance: String) {
@@ -97,25 +83,22 @@
         assertTrue(versions(instance).max() > 0, "the map never changed, so the scenario shows nothing")
     }
 
-    private fun makePopular(
-        target: TargetPair,
-        hot: Int,
-    ) = fleet.control("${target.targetUrl}/control/experts", List(EXPERTS) { if (it == hot) 8.0 else 1.0 })
+    private fun makePopular(target: TargetPair, hot: Int) =
+        fleet.control("${target.targetUrl}/control/experts", List(EXPERTS) { if (it == hot) 8.0 else 1.0 })
 
-    private fun Fleet.control(
-        url: String,
-        loads: List<Double>,
-    ) = post(url, """{"loadByExpert": $loads}""")
+    private fun Fleet.control(url: String, loads: List<Double>) = post(url, """{"loadByExpert": $loads}""")
 
     private fun versions(instance: String): Set<Long> {
         val report = fleet.get("${Site.target(instance).targetUrl}/ranks").orEmpty()
         return Regex("\"version\":(\\d+)").findAll(report).map { it.groupValues[1].toLong() }.toSet()
     }
 
-    private fun number(
-        report: String,
-        name: String,
-    ): Long = Regex("\"$name\":(\\d+)").find(report)?.groupValues?.get(1)?.toLong() ?: 0
+    private fun number(report: String, name: String): Long =
+        Regex("\"$name\":(\\d+)")
+            .find(report)
+            ?.groupValues
+            ?.get(1)
+            ?.toLong() ?: 0
 }
 
 private const val EXPERTS = 8
--- a/side/src/main/kotlin/io/jaybeam/side/SideSettings.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/SideSettings.kt
@@ -15,7 +15,6 @@
     val url: String,
     val service: String,
     val kind: ServiceKind,
-    val orderFencing: Boolean,
 )
 
 /** Everything that a side process is told. */
@@ -43,7 +42,7 @@
     SideSettings(
         common = commonSettings(),
         linkPort = int("linkPort", 0..MAX_PORT),
-        target = child("target") { targetSettings() } ?: TargetSettings("", "", ServiceKind.PLAIN, false),
+        target = child("target") { targetSettings() } ?: TargetSettings("", "", ServiceKind.PLAIN),
         ticketWindowMillis = long("ticketWindowMillis", MIN_WINDOW_MILLIS..MAX_WINDOW_MILLIS, DEFAULT_TICKET_WINDOW_MILLIS),
         ledgerCapacity = int("ledgerCapacity", 1..MAX_LEDGER_CAPACITY, DEFAULT_LEDGER_CAPACITY),
         queueCapacity = int("queueCapacity", 1..MAX_QUEUE_CAPACITY, DEFAULT_QUEUE_CAPACITY),
@@ -58,6 +57,5 @@
         url = url("url"),
         service = string("service"),
         kind = known ?: ServiceKind.PLAIN,
-        orderFencing = boolean("orderFencing", false),
     )
 }
