--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/MoveBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/MoveBenchmark.kt
@@ -9,6 +9,7 @@
 import io.jaybeam.scenarios.Load
 import io.jaybeam.scenarios.MODEL_SERVICE
 import io.jaybeam.scenarios.inFlightIn
+import io.jaybeam.scenarios.setDataCentre
 import kotlin.time.TimeSource
 
 private const val CALLERS = 72
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlacementBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlacementBenchmark.kt
@@ -47,7 +47,7 @@
     val start = solvePlacement(day.first(), SLOTS_PER_RANK)
     val rows = policies(seed).map { policy -> row(policy.name, run(policy, start, day)) }
     printTable(
-        "Placement: $RANKS ranks, $EXPERTS experts, $SLOTS_PER_RANK slots a rank, $EPOCHS epochs, $STRAGGLERS stragglers in turn, seed $seed",
+        "Placement: $RANKS ranks, $EXPERTS experts, $SLOTS_PER_RANK slots a rank, $EPOCHS epochs, $STRAGGLERS stragglers, seed $seed",
         listOf("policy", "skew mean", "skew max", "slowest/bound mean", "slots moved", "GB moved", "changes", "slowest plan ms"),
         rows,
     )
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/SystemBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/SystemBenchmark.kt
@@ -10,6 +10,8 @@
 import io.jaybeam.scenarios.FleetPlan
 import io.jaybeam.scenarios.Load
 import io.jaybeam.scenarios.MODEL_SERVICE
+import io.jaybeam.scenarios.logEnd
+import io.jaybeam.scenarios.setInstance
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.time.TimeSource
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
@@ -6,14 +6,10 @@
 import io.jaybeam.core.config.ChangeSigner
 import io.jaybeam.core.config.ChangeVerifier
 import io.jaybeam.core.config.ConfigChange
-import io.jaybeam.core.config.ConfigItem
-import io.jaybeam.core.config.ConfigItemKind
 import io.jaybeam.core.config.ConfigRecord
-import io.jaybeam.core.config.ConfigState
 import io.jaybeam.core.config.NO_VERSION
 import io.jaybeam.core.config.recordJson
 import io.jaybeam.platform.config.CONFIG_STREAM
-import io.jaybeam.platform.config.decodeConfigRecordOrNull
 import io.jaybeam.platform.http.HttpTimeouts
 import io.jaybeam.platform.http.singleAttemptClient
 import io.jaybeam.platform.log.LogClient
@@ -33,7 +29,7 @@
 
 private const val HOST = "127.0.0.1"
 private const val ENTRY_MAIN = "io.jaybeam.entry.MainKt"
-private const val SIDE_MAIN = "io.jaybeam.side.MainKt"
+private const val SIDE_MAIN = "io.jaybeam.side.SideCommandKt"
 private const val STAND_IN_MAIN = "io.jaybeam.standins.MainKt"
 private const val STAND_IN_HEAP_MEGABYTES = 64
 private const val PRODUCT_HEAP_MEGABYTES = 96
@@ -99,6 +95,8 @@
     private val listPort = freePort()
     private val weightsPort = freePort()
 
+    internal val verifier: ChangeVerifier get() = ChangeVerifier(mapOf("ops" to keys.public))
+
     /** The entries. */
     public val entries: List<EntryNode> =
         List(plan.entries) { EntryNode("entry-${it + 1}", dataCentre(it), freePort(), freePort()) }
@@ -167,29 +165,6 @@
         return LogClient(logUrl).append(CONFIG_STREAM, record).isRight()
     }
 
-    /** Returns the version of [item] according to the log. */
-    public fun itemVersion(item: ConfigItem): Long {
-        val page = checkNotNull(LogClient(logUrl).read(CONFIG_STREAM, 0, 0).getOrNull()) { "the log does not answer" }
-        val verifier = ChangeVerifier(mapOf("ops" to keys.public))
-        val records = page.records.map(::decodeConfigRecordOrNull)
-        return checkNotNull(ConfigState.bootstrap(page.startOffset, records, verifier)) { "the log holds no whole state" }.versionOf(item)
-    }
-
-    /** Takes [instance] in or out of service by a signed change in the log. */
-    public fun setInstance(instance: String, inService: Boolean) {
-        val base = itemVersion(ConfigItem(ConfigItemKind.INSTANCE, instance))
-        append(ConfigChange.SetInstance("set-$instance-$base", base, "desk", instance, inService))
-    }
-
-    /** Takes data centre [name] in or out of service by a signed change in the log. */
-    public fun setDataCentre(name: String, inService: Boolean) {
-        val base = itemVersion(ConfigItem(ConfigItemKind.DATA_CENTRE, name))
-        append(ConfigChange.SetDataCentre("set-$name-$base", base, "desk", name, inService))
-    }
-
-    /** Returns the offset of the last record of the configuration stream. */
-    public fun logEnd(): Long = checkNotNull(LogClient(logUrl).read(CONFIG_STREAM, 0, 0).getOrNull()).nextOffset - 1
-
     /** Runs an operators' subcommand of the `jaybeam` binary to its end. */
     public fun operate(vararg arguments: String): CommandResult {
         val name = "cli-${System.nanoTime()}"
@@ -273,9 +248,6 @@
         awaitTrue("links of ${entry.instance}") { linkedTargets(entry) >= running }
     }
 
-    /** Returns how many targets [entry] has a link to. */
-    public fun linkedTargets(entry: EntryNode): Int = get("${entry.adminUrl}/dump")?.split("\"linked\":true")?.let { it.size - 1 } ?: 0
-
     /** Returns the process called [name]: an entry's name, or `side-` or `target-` with an instance's name. */
     public fun process(name: String): ManagedProcess = checkNotNull(processes[name]) { "no process is called $name" }
 
@@ -382,17 +354,6 @@
     private fun encode(bytes: ByteArray) = Base64.getEncoder().encodeToString(bytes)
 }
 
-/** Returns the requests in flight at the model targets of [dataCentre]. */
-public fun Fleet.inFlightIn(dataCentre: String): Int =
-    targets.filter { it.dataCentre == dataCentre && it.service == MODEL_SERVICE }.sumOf { target ->
-        val report = get("${target.targetUrl}/control/report").orEmpty()
-        Regex("\"inFlight\":(\\d+)")
-            .find(report)
-            ?.groupValues
-            ?.get(1)
-            ?.toInt() ?: 0
-    }
-
 private const val OUTPUT_TAIL = 600
 private const val BACKLOG = 1
 private const val FIRST_PORT = 20_000
