--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlacementBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlacementBenchmark.kt
@@ -60,10 +60,10 @@
         Policy("random replication") { _, load -> randomMap(load, random) },
         Policy("solve again every time") { _, load -> solvePlacement(load, SLOTS_PER_RANK) },
         planner("plan, no hysteresis, 32 moves", maxMoves = 32, minGainPercent = 0.0),
-        planner("plan, gain 1%, 32 moves", maxMoves = 32, minGainPercent = 1.0),
+        planner("plan, gain 2%, 24 moves", maxMoves = 24, minGainPercent = 2.0),
         planner("plan, gain 2%, 16 moves", maxMoves = 16, minGainPercent = 2.0),
         planner("plan, gain 2%, 32 moves", maxMoves = 32, minGainPercent = 2.0),
-        planner("plan, gain 2%, 64 moves", maxMoves = 64, minGainPercent = 2.0),
+        planner("plan, gain 3%, 64 moves", maxMoves = 64, minGainPercent = 3.0),
         planner("plan, gain 5%, 32 moves", maxMoves = 32, minGainPercent = 5.0),
         planner("plan, gain 2%, 4 moves", maxMoves = 4, minGainPercent = 2.0),
     )
