An entry that turns a resend away by itself no longer says "not run" of the request

Cause: refusals that an entry makes before it asks any target (unknown tier, body too large, organisation over its limit, no configuration) said "not run" also to callers with a ticket or key, whose earlier attempt may have run. Ruled out: walks and bindings (their outcomes are about the request and were right). Change: such refusals say "outcome unknown, this attempt was not forwarded" where the call carries a ticket or key; only recorded refusals of every member say "not run" there. Before: scenario "A resend that the entry turns away by itself" failed: expected outcome unknown, was not run.

--- a/entry/src/main/kotlin/io/jaybeam/entry/calls/CallerServer.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/calls/CallerServer.kt
@@ -86,7 +86,7 @@
             try {
                 val current = bundle()
                 val result = if (current == null) CallResult.Refusal(notReady()) else serve(context, current, response, read)
-                finish(result, response)
+                finish(context, result, response)
                 onResult(result, System.nanoTime() - startNanos)
             } finally {
                 inFlight.decrementAndGet()
@@ -104,14 +104,16 @@
             { handle(it, response) },
         )
 
-    private fun finish(result: CallResult, response: HttpCallerResponse) {
+    private fun finish(context: Context, result: CallResult, response: HttpCallerResponse) {
         when (result) {
-            is CallResult.Refusal -> response.refuse(result.problem)
+            is CallResult.Refusal -> response.refuse(if (context.mayBeResend()) result.problem.forResend() else result.problem)
             is CallResult.CutOff -> response.abort(result.detail)
             is CallResult.Relayed, CallResult.CallerGone -> Unit
         }
     }
 
+    private fun Context.mayBeResend() = header(CallerHeaders.TICKET) != null || header(CallerHeaders.IDEMPOTENCY_KEY) != null
+
     /** Gives out a ticket, with which a caller may send a request again and again and have it run at most once. */
     private fun ticket(context: Context) {
         val response = HttpCallerResponse(context) { draining }
--- a/entry/src/main/kotlin/io/jaybeam/entry/calls/Problem.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/calls/Problem.kt
@@ -17,7 +17,11 @@
     UNKNOWN("outcome unknown"),
 }
 
-/** A refusal. */
+/**
+ * A refusal.
+ *
+ * @property aboutRequest whether [outcome] was found for the request as a whole, and not only for this attempt of it.
+ */
 internal data class Problem(
     val status: Int,
     val title: String,
@@ -26,6 +30,7 @@
     val remedy: String,
     val retryAfterSeconds: Int? = null,
     val ticket: String? = null,
+    val aboutRequest: Boolean = false,
 )
 
 @Serializable
@@ -47,6 +52,19 @@
     return json.encodeToString(ProblemBody.serializer(), ProblemBody(type, title, status, detail, outcome.text, remedy, ticket))
 }
 
+/**
+ * Returns the problem as it may be told to a caller that holds a ticket or key: an entry that turned this attempt away by
+ * itself knows nothing of earlier attempts.
+ */
+internal fun Problem.forResend(): Problem {
+    if (aboutRequest || outcome == ProblemOutcome.UNKNOWN) return this
+    return copy(
+        outcome = ProblemOutcome.UNKNOWN,
+        detail = "this attempt was not forwarded: $detail; an earlier attempt with the same ticket or key may have run",
+        remedy = "$remedy; sending the same ticket or key again is safe",
+    )
+}
+
 internal fun badRequest(detail: String, remedy: String, status: Int = 400) =
     Problem(status, "Bad request", ProblemOutcome.NOT_RUN, detail, remedy)
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/forward/Refusals.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/forward/Refusals.kt
@@ -26,6 +26,7 @@
         detail = "every target of the ticket refused for good: ${reason.describe()}",
         remedy = "send it as a new request, with a new ticket or key, after the time in Retry-After",
         retryAfterSeconds = 1,
+        aboutRequest = true,
     )
 
 internal fun deadlinePassed() =
--- a/entry/src/main/kotlin/io/jaybeam/entry/operator/OperatorCommands.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/operator/OperatorCommands.kt
@@ -220,9 +220,10 @@
         publishAndReport(publisher, settings.signer().sign(change), change)
     }
 
-/** `jaybeam datacentre out|in` */
-@Command(name = "datacentre", description = ["Takes a data centre out of or into service."])
-internal class DataCentreCommand : Callable<Int> {
+/** Takes an item of one kind out of or into service. */
+internal abstract class SetServiceCommand(
+    private val kind: ConfigItemKind,
+) : Callable<Int> {
     @Mixin
     private lateinit var operator: OperatorOption
 
@@ -232,23 +233,16 @@
     @Parameters(index = "1", paramLabel = "NAME")
     private lateinit var name: String
 
-    override fun call(): Int = setService(operator, ConfigItemKind.DATA_CENTRE, name, direction)
+    override fun call(): Int = setService(operator, kind, name, direction)
 }
 
+/** `jaybeam datacentre out|in` */
+@Command(name = "datacentre", description = ["Takes a data centre out of or into service."])
+internal class DataCentreCommand : SetServiceCommand(ConfigItemKind.DATA_CENTRE)
+
 /** `jaybeam instance out|in` */
 @Command(name = "instance", description = ["Takes an instance out of or into service."])
-internal class InstanceCommand : Callable<Int> {
-    @Mixin
-    private lateinit var operator: OperatorOption
-
-    @Parameters(index = "0", paramLabel = "out|in")
-    private lateinit var direction: Direction
-
-    @Parameters(index = "1", paramLabel = "NAME")
-    private lateinit var name: String
-
-    override fun call(): Int = setService(operator, ConfigItemKind.INSTANCE, name, direction)
-}
+internal class InstanceCommand : SetServiceCommand(ConfigItemKind.INSTANCE)
 
 /** `jaybeam config` */
 @Command(name = "config", description = ["Shows configuration."], subcommands = [ConfigShowCommand::class])
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
@@ -76,6 +76,12 @@
         booking.replies += sendAsync(booking.options.copy(deadlineMillis = deadlineMillis.toLong()), entry)
     }
 
+    @When("booking {string} is sent again through entry {int} with an unknown price tier")
+    fun sendAgainWithUnknownTier(name: String, entry: Int) {
+        val booking = bookings.getValue(name)
+        booking.replies += sendAsync(booking.options.copy(tier = "no-such-tier"), entry)
+    }
+
     @When("the side that may first run booking {string} is {word}")
     fun breakFirst(name: String, action: String) {
         val side = fleet.process("side-${firstInstance(name)}")
--- a/scenarios/src/test/resources/features/at-most-once.feature
+++ b/scenarios/src/test/resources/features/at-most-once.feature
@@ -135,3 +135,11 @@
     And booking "bare" is sent with neither ticket nor key through entry 1
     Then reply 1 to booking "bare" is whole
     And booking "bare" ran 1 time
+
+  Scenario: A resend that the entry turns away by itself claims nothing about the first attempt
+    Given a site with 2 entries, 0 model targets and 1 booking targets
+    When booking "resent" is sent with a ticket through entry 1
+    Then reply 1 to booking "resent" is whole
+    When booking "resent" is sent again through entry 2 with an unknown price tier
+    Then reply 2 to booking "resent" says "outcome unknown"
+    And booking "resent" ran 1 time
