An entry that has no link at all waits briefly for one

Cause: after a freeze an entry closes every link as silent and refused calls until the first was back, up to a second. Ruled out: work given to the data centre that is out (none was). Change: a call waits up to reattachMillis, within its deadline, while targets of its service are listed and none is linked.

--- a/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
@@ -88,6 +88,7 @@
             repeatable = RepeatableForwarder(directory, router, crashes, settings.reattachMillis, ::effective, ::monotonicMillis),
             tickets = TicketForwarder(directory, mint, crashes, settings.reattachMillis, ::monotonicMillis),
             bindings = bindings,
+            awaitAnyLink = { directory.awaitAnyLink(it.service, minOf(settings.reattachMillis, it.remainingMillis())) },
         )
     private val filters = listOf(OrganisationLimitFilter(), TicketOwnerFilter)
     private val latency = Timer.builder("jaybeam.entry.call").register(registry)
--- a/entry/src/main/kotlin/io/jaybeam/entry/forward/Forwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/forward/Forwarder.kt
@@ -13,15 +13,18 @@
     private val repeatable: RepeatableForwarder,
     private val tickets: TicketForwarder,
     private val bindings: KeyBindingController,
+    private val awaitAnyLink: (Call) -> Unit,
 ) {
     /** Runs [call] and writes its answer to [response]. */
-    fun forward(call: Call, response: CallerResponse): CallResult =
-        when (val repeatability = call.repeatability) {
+    fun forward(call: Call, response: CallerResponse): CallResult {
+        awaitAnyLink(call)
+        return when (val repeatability = call.repeatability) {
             is Repeatability.Idempotent -> repeatable.forward(call, response)
             is Repeatability.Once -> tickets.forwardOnce(call, response)
             is Repeatability.UnderTicket -> tickets.forward(call, response, repeatability.ticket)
             is Repeatability.UnderKey -> underKey(call, response, repeatability.key)
         }
+    }
 
     private fun underKey(call: Call, response: CallerResponse, key: String): CallResult =
         when (val result = bindings.bind(call, key)) {
--- a/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetDirectory.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetDirectory.kt
@@ -25,6 +25,7 @@
 
 private const val REFRESH_MILLIS = 250L
 private const val REFRESHES_PER_READ = 4
+private const val LINK_POLL_MILLIS = 20L
 
 /** Keeps the channels of one entry. */
 internal class TargetDirectory(
@@ -63,6 +64,17 @@
             .filter { config.inService(it.listed.dataCentre, it.listed.instance) }
             .mapNotNull { it.viewOrNull() }
 
+    /** Waits up to [timeoutMillis] while no target of [service] is linked, as after this entry was frozen. */
+    fun awaitAnyLink(service: String, timeoutMillis: Long) {
+        val untilNanos = System.nanoTime() + timeoutMillis * 1_000_000
+        while (!anyLink(service) && System.nanoTime() < untilNanos) Thread.sleep(LINK_POLL_MILLIS)
+    }
+
+    private fun anyLink(service: String): Boolean {
+        val ofService = channels.values.filter { it.listed.service == service }
+        return ofService.isEmpty() || ofService.any { it.isUp }
+    }
+
     /** Returns the channel to the instance of [identity], or null if it is not listed here. */
     fun channelOf(identity: TargetIncarnation): TargetChannel? = channels[identity.instance]
 
