Targets announce at once that they take work; an entry is ready once it knows its targets

A side reports its load once a second and when a link opens. A link that opened before the target's first health answer reported "takes no work", and entries believed that for up to a second. Second cause, found by reading: an entry's /readyz asked only for a bundle, so it could be given callers before it had read the instance list.

Change: a side sends its load report when its target begins or ceases to take work. An entry is ready after its first reading of the instance list, when each target has been reached or has failed to be once; from then on it stays so. The scenarios' fleet waits until every target takes work from each entry, as it already waited for links. The instance list stand-in can be slow.

--- a/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
@@ -183,7 +183,7 @@
 
     private fun effective(): EffectiveConfig = config.stateOrNull()?.effective() ?: EffectiveConfig()
 
-    private fun ready() = !stopping && effective().bundle != null
+    private fun ready() = !stopping && effective().bundle != null && directory.isSettled
 
     private fun record(result: CallResult, nanos: Long) {
         latency.record(nanos, TimeUnit.NANOSECONDS)
--- a/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
@@ -106,6 +106,11 @@
     @Volatile
     var connecting = false
 
+    /** Whether the side has reported its load or could not be reached, at least once. */
+    @Volatile
+    var wasTried = false
+        private set
+
     /** Whether a link is open and its side has introduced itself. */
     val isUp: Boolean get() = link?.isOpen == true && identity != null
 
@@ -166,6 +171,12 @@
         connecting = false
     }
 
+    /** Notes that no link could be opened. */
+    fun failedToConnect() {
+        connecting = false
+        wasTried = true
+    }
+
     /** Sends [frame] if a link is open. */
     fun send(frame: Frame) {
         link?.takeIf { isUp }?.send(frame)
@@ -193,6 +204,7 @@
     override fun onClosed(link: Link, reason: String) {
         if (this.link !== link) return
         this.link = null
+        wasTried = true
         attempts.values.filter { it.isOn(link) }.forEach {
             lostFingerprints += it.fingerprint
             it.offer(AttemptEvent.LinkLost(reason))
@@ -215,6 +227,7 @@
         load = report
         loadAtNanos = System.nanoTime()
         sentSinceReport.set(0)
+        wasTried = true
     }
 
     private fun deliver(attemptId: Long, frame: Frame) {
--- a/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetDirectory.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetDirectory.kt
@@ -42,6 +42,18 @@
     @Volatile
     private var running = true
 
+    @Volatile
+    private var listRead = false
+
+    /**
+     * Whether the list has been read and every target on it has been reached or failed to be once.
+     *
+     * Stays true once it is: an entry that loses its targets later is still the one to answer its callers.
+     */
+    @Volatile
+    var isSettled = false
+        private set
+
     private var listReachable = true
     private var refreshes = 0
 
@@ -95,6 +107,7 @@
         if (refreshes++ % REFRESHES_PER_READ == 0) readList()
         dropGone()
         channels.values.filter { !it.isUp && !it.connecting }.forEach(::connect)
+        isSettled = isSettled || (listRead && channels.values.all { it.wasTried })
     }
 
     private fun readList() {
@@ -111,6 +124,7 @@
                 }
         }
         listReachable = reading !is ListReading.Failed
+        listRead = listRead || listReachable
     }
 
     private fun follow(read: InstanceList) {
@@ -149,7 +163,7 @@
                 channel.connected(link)
                 link.send(hello())
             },
-            onFailed = { channel.connecting = false },
+            onFailed = { channel.failedToConnect() },
         )
     }
 }
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
@@ -229,7 +229,7 @@
     /** Whether the process called [name] runs. */
     public fun isRunning(name: String): Boolean = processes[name]?.isAlive == true
 
-    /** Waits until every entry is ready and linked to every side. */
+    /** Waits until every entry is ready and every target takes work from each. */
     public fun awaitReady() {
         progress("waiting for ${entries.size} entries and ${targets.size} sides")
         targets.forEach { target ->
@@ -238,7 +238,10 @@
                 get("${target.adminUrl}/readyz") != null
             }
         }
-        entries.forEach { entry -> awaitReady(entry) }
+        entries.forEach { entry ->
+            awaitReady(entry)
+            awaitTrue("targets of ${entry.instance}") { targetsTakingWork(entry) == targets.size }
+        }
     }
 
     /** Waits until [entry] is ready and linked to every side that runs. */
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetState.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetState.kt
@@ -36,6 +36,10 @@
 /** Returns how many targets [entry] has a link to. */
 public fun Fleet.linkedTargets(entry: EntryNode): Int = get("${entry.adminUrl}/dump")?.split("\"linked\":true")?.let { it.size - 1 } ?: 0
 
+/** Returns how many targets [entry] may send new work to. */
+public fun Fleet.targetsTakingWork(entry: EntryNode): Int =
+    get("${entry.adminUrl}/dump")?.split("\"takesWork\":true")?.let { it.size - 1 } ?: 0
+
 /** Returns the requests in flight at the model targets of [dataCentre]. */
 public fun Fleet.inFlightIn(dataCentre: String): Int =
     targets.filter { it.dataCentre == dataCentre && it.service == MODEL_SERVICE }.sumOf { target ->
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
@@ -55,6 +55,14 @@
         bookings[name] = Booking(CallOptions(ticket = ticket, booking = name))
     }
 
+    @When("entry {int} is started again and asked for a ticket for booking {string} as soon as it is ready")
+    fun startAndTakeTicket(entry: Int, name: String) {
+        val node = Site.entry(entry)
+        fleet.startEntry(node)
+        fleet.awaitTrue(node.instance) { fleet.get("${node.adminUrl}/readyz") != null }
+        takeTicket(name, entry)
+    }
+
     @When("booking {string} is sent with neither ticket nor key through entry {int}")
     fun sendPlain(name: String, entry: Int) = send(name, CallOptions(booking = name), entry)
 
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
@@ -121,6 +121,9 @@
     @When("the log takes {int} ms longer for each call")
     fun logSlow(millis: Int) = fleet.control(fleet.logUrl, """{"slowMillis": $millis}""")
 
+    @When("the instance list takes {int} ms longer for each call")
+    fun listSlow(millis: Int) = fleet.control(fleet.listUrl, """{"slowMillis": $millis}""")
+
     @When("the log loses the answers of the next {int} appends")
     fun logLoses(count: Int) = fleet.control(fleet.logUrl, """{"loseAnswers": $count}""")
 
--- a/scenarios/src/test/resources/features/graceful-stop.feature
+++ b/scenarios/src/test/resources/features/graceful-stop.feature
@@ -30,3 +30,11 @@
     When a client asks entry 1 for 2000 tokens and never reads
     And 1 callers stream 5 answers through entry 1
     Then no streamed answer failed, and each was whole and its own
+
+  Scenario: An entry that has just started is not ready before it knows its targets
+    Given a site with 2 entries, 0 model targets and 1 booking targets
+    And the instance list takes 1500 ms longer for each call
+    When the process "entry-2" is killed
+    And entry 2 is started again and asked for a ticket for booking "early" as soon as it is ready
+    And booking "early" is sent again through entry 2
+    Then reply 1 to booking "early" is whole
--- a/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
@@ -38,7 +38,10 @@
     val leaving: Boolean = false,
     val inService: Boolean = false,
     val targetUp: Boolean = false,
-)
+) {
+    /** Whether new requests are admitted. */
+    val takesWork: Boolean get() = inService && !leaving
+}
 
 private const val RING_CAPACITY = 16_384
 private const val TICK_MILLIS = 10L
@@ -92,7 +95,7 @@
     /** Returns the frame that tells entries how loaded the target is. */
     fun loadReport(): Frame.Load {
         val now = snapshot
-        return Frame.Load(now.inFlight, now.queued, now.limit, now.stepMillis, now.leaving || !now.inService)
+        return Frame.Load(now.inFlight, now.queued, now.limit, now.stepMillis, leaving = !now.takesWork)
     }
 
     private fun handle(message: WorkMessage) {
@@ -323,8 +326,6 @@
     private fun leave() {
         leaving = true
         refuseQueued(RefusalReason.LEAVING)
-        publish()
-        broadcast(loadReport())
     }
 
     private fun refuseQueued(reason: RefusalReason) {
@@ -336,6 +337,7 @@
     }
 
     private fun publish() {
+        val tookWork = snapshot.takesWork
         snapshot =
             WorkSnapshot(
                 inFlight = admission.inFlight,
@@ -349,6 +351,8 @@
                 targetUp = watch.incarnation != null,
             )
         idle = store.isIdle
+        // Between heartbeats entries would send work to a target that refuses it, or refuse calls that it would take.
+        if (snapshot.takesWork != tookWork) broadcast(loadReport())
     }
 }
 
--- a/standins/src/main/kotlin/io/jaybeam/standins/InstanceListStandIn.kt
+++ b/standins/src/main/kotlin/io/jaybeam/standins/InstanceListStandIn.kt
@@ -27,6 +27,7 @@
 @Serializable
 private data class ListFaults(
     val lagMillis: Long = 0,
+    val slowMillis: Long = 0,
     val outage: Boolean = false,
 )
 
@@ -53,6 +54,7 @@
     }
 
     private fun answer(context: Context) {
+        Thread.sleep(faults.slowMillis)
         val version = current()
         val tag = "\"${version?.atNanos ?: 0}\""
         context.header("ETag", tag)
