Placement tries chains of changes where no single one relieves the slowest rank

A dump of the stuck maps shows 8 to 11 ranks equally slow, each with a copy of one hot expert at 1.1 to 1.4 of the mean and two copies of nearly idle ones. Only one more copy relieves them, and any rank that takes it becomes slower than they are until its other experts move.

Ruled out: too few moves allowed (64 are no better), hysteresis (without it the search is stuck as often), stragglers (ranks in the dump run at full speed).

Change: where no single change helps, the search adds a copy of the slowest rank's heaviest expert, or exchanges it, and goes on with the best changes of whichever rank is slowest then, up to 10; it keeps the chain once the slowest rank is relieved and undoes it otherwise.

The new test failed before (no plan).

--- a/core/src/main/kotlin/io/jaybeam/core/placement/PlacementSearch.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/PlacementSearch.kt
@@ -1,6 +1,7 @@
 /*
  * Improves a placement step by step: each step takes the one exchange or replacement of slots that relieves the
- * slowest rank the most for its moves.
+ * slowest rank the most for its moves, or where none does, a short chain of which the later ones undo the harm of the
+ * first. Copies of one hot expert make many ranks equally slow, and only another copy relieves them all.
  */
 package io.jaybeam.core.placement
 
@@ -29,6 +30,8 @@
 
 private const val MIN_RELIEF = 1e-9
 private const val MAX_STEPS = 2_000
+private const val CHAIN_WIDTH = 12
+private const val CHAIN_LENGTH = 10
 
 /** Searches from [start]; not thread-safe. */
 internal class PlacementSearch(
@@ -54,9 +57,10 @@
         var movesLeft = maxMoves
         repeat(MAX_STEPS) {
             if (skew() <= targetSkew) return result()
-            val change = best(movesLeft) ?: return result()
-            apply(change)
-            movesLeft -= change.moves
+            val change = best(movesLeft)
+            val moves = if (change == null) applyChain(movesLeft) else change.moves.also { apply(change) }
+            if (moves == 0) return result()
+            movesLeft -= moves
         }
         return result()
     }
@@ -82,7 +86,7 @@
         val slowestTime = time(slowest)
         var best: Change? = null
         var bestRelief = MIN_RELIEF
-        changesAt(slowest, slowestTime).filter { it.moves <= movesLeft }.forEach { change ->
+        changesAt(slowest).filter { it.moves <= movesLeft }.forEach { change ->
             val relief = (slowestTime - change.worstAfter) / change.moves
             if (relief > bestRelief) {
                 best = change
@@ -92,14 +96,54 @@
         return best
     }
 
-    private fun changesAt(slowest: Int, slowestTime: Double): Sequence<Change> =
+    /**
+     * Applies a change of the slowest rank that overloads another, and those that relieve that other, if together
+     * they relieve the slowest; returns their moves, or 0 if no such chain was found.
+     */
+    private fun applyChain(movesLeft: Int): Int {
+        val slowest = work.indices.maxBy(::time)
+        val slowestTime = time(slowest)
+        val heaviest = slotsOf(slowest).maxBy { share(expertBySlot[it]) }
+        val copies = relieving(expertBySlot[heaviest]).sortedBy { it.worstAfter }.take(CHAIN_WIDTH)
+        val exchanges =
+            expertBySlot.indices
+                .mapNotNull { exchange(heaviest, it) }
+                .sortedBy { it.worstAfter }
+                .take(CHAIN_WIDTH)
+        return (copies + exchanges).firstNotNullOfOrNull { movesOfChainOrNull(it, movesLeft, slowestTime) } ?: 0
+    }
+
+    private fun movesOfChainOrNull(first: Change, movesLeft: Int, slowestTime: Double): Int? {
+        val undo = ArrayDeque<Change>()
+        var moves = 0
+        var next: Change? = first.takeIf { it.moves <= movesLeft }
+        while (next != null && undo.size < CHAIN_LENGTH) {
+            undo.addFirst(undoOf(next))
+            apply(next)
+            moves += next.moves
+            if (work.indices.maxOf(::time) < slowestTime - MIN_RELIEF) return moves
+            next = best(movesLeft - moves)
+        }
+        undo.forEach(::apply)
+        return null
+    }
+
+    private fun slotsOf(rank: Int) = rank * slotsPerRank until (rank + 1) * slotsPerRank
+
+    private fun undoOf(change: Change): Change =
+        when (change) {
+            is Change.Exchange -> change
+            is Change.Replace -> Change.Replace(change.slot, expertBySlot[change.slot], change.worstAfter)
+        }
+
+    private fun changesAt(slowest: Int): Sequence<Change> =
         sequence {
-            val slots = slowest * slotsPerRank until (slowest + 1) * slotsPerRank
+            val slots = slotsOf(slowest)
             for (slot in slots) {
                 for (other in expertBySlot.indices) {
                     if (rankOf(other) != slowest) exchange(slot, other)?.let { yield(it) }
                 }
-                relieving(expertBySlot[slot], slowestTime).forEach { yield(it) }
+                yieldAll(relieving(expertBySlot[slot]))
             }
             slots.filter { copies[expertBySlot[it]] > 1 }.forEach { slot -> yieldAll(replacements(slot)) }
         }
@@ -113,13 +157,13 @@
     private fun holds(rank: Int, expert: Int) = slotsByExpert[expert].any { rankOf(it) == rank }
 
     /** Copies of [expert] in slots that hold the second copy of something cold. */
-    private fun relieving(expert: Int, slowestTime: Double): List<Change> {
+    private fun relieving(expert: Int): List<Change> {
         if (copies[expert] >= load.rankCount) return emptyList()
         val shareAfter = load.loadByExpert[expert] / (copies[expert] + 1)
         return expertBySlot.indices.mapNotNull { slot ->
             val cold = expertBySlot[slot]
             if (copies[cold] < 2 || cold == expert || holds(rankOf(slot), expert)) return@mapNotNull null
-            replacement(slot, cold, expert, shareAfter).takeIf { it.worstAfter < slowestTime }
+            replacement(slot, cold, expert, shareAfter)
         }
     }
 
--- a/core/src/test/kotlin/io/jaybeam/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/placement/PlacementTest.kt
@@ -35,6 +35,14 @@
         assertEquals(stepTimes(plan.map, load).slowest, plan.after.slowest)
     }
 
+    @Test
+    fun `a hot expert gets another copy where the rank that takes it has to be relieved first`() {
+        val current = ExpertMap(2, listOf(0, 1, 0, 1, 2, 1, 3, 1))
+        val load = LayerLoad(listOf(12.0, 0.4, 2.5, 2.5), List(4) { 1.0 })
+        val plan = assertNotNull(planPlacement(current, load, PlacementPolicy(maxMoves = 4, minGainPercent = 10.0)))
+        assertTrue(plan.moves in 1..4, "${plan.moves} moves")
+    }
+
     @Property(tries = 100, seed = "20261204")
     fun `no map is faster than the lower bound`(
         @ForAll seed: Long,
