The overload scenario notices a queue that does not serve organisations alike

Cause: the proof run "organisations-unequal" was not noticed: with 12 and 4 callers a queue in order of arrival gives the small organisation its share of the callers too, which was all that the check asked.

--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/OverloadSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/OverloadSteps.kt
@@ -12,7 +12,7 @@
 private const val SETTLE_MILLIS = 1_500L
 private const val MEASURE_MILLIS = 4_000L
 private const val RESEND_MILLIS = 10L
-private const val FAIR_PERCENT = 90
+private const val FAIR_PERCENT = 150
 private const val RETRY_BURST = 10
 
 /** Steps about more work than the targets can do. */
@@ -109,7 +109,7 @@
         assertTrue(urgent.sumOf { it.answers } > patient.sumOf { it.answers }, answersByGroup())
     }
 
-    @Then("organisation {string} had no less than its share of the urgent answers")
+    @Then("organisation {string} had more of the urgent answers than its share of the callers by half or more")
     fun fairShare(name: String) {
         val urgent = groups.filter { it.name != "patient" }.sumOf { it.answers }
         val own = groups.first { it.name == name }.answers
