--- a/core/src/main/kotlin/io/jaybeam/core/config/Bundle.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/config/Bundle.kt
@@ -58,7 +58,6 @@
     val slotsPerRank: Int,
     val maxBytesPerMove: Long,
     val minGainPercent: Int,
-    val horizonSteps: Long,
 )
 
 /** Bounds on requests of any kind. */
@@ -119,7 +118,7 @@
         services = services,
         dataCentres = dataCentres,
         freshTargetLimits = child("freshTargetLimits") { freshTargetLimits() } ?: FreshTargetLimits(1, 1, 0),
-        expertPlacement = child("expertPlacement") { expertPlacement() } ?: ExpertPlacement(1, 0, 0, 1),
+        expertPlacement = child("expertPlacement") { expertPlacement() } ?: ExpertPlacement(1, 0, 0),
         requestLimits = child("requestLimits") { requestLimits() } ?: RequestLimits(0, 0, 1),
     )
 }
@@ -150,7 +149,6 @@
         slotsPerRank = int("slotsPerRank", 1..MAX_SLOTS_PER_RANK),
         maxBytesPerMove = long("maxBytesPerMove", 0..Long.MAX_VALUE),
         minGainPercent = int("minGainPercent", 0..100),
-        horizonSteps = long("horizonSteps", 1..Long.MAX_VALUE),
     )
 
 private fun JsonShape.requestLimits() =
--- a/core/src/test/kotlin/io/jaybeam/core/config/OperatorKeys.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/config/OperatorKeys.kt
@@ -15,6 +15,6 @@
     {"formatVersion": 1, "name": "b", "priceTiers": [{"name": "counter", "class": "URGENT", "maxWaitMillis": 1, "priceMicrosPerToken": 1}],
      "services": [{"name": "chat", "kind": "MODEL"}], "dataCentres": ["pdx", "sea"],
      "freshTargetLimits": {"initialConcurrency": 1, "fullConcurrency": 4, "rampMillis": 1000},
-     "expertPlacement": {"slotsPerRank": 2, "maxBytesPerMove": 1, "minGainPercent": 1, "horizonSteps": 1},
+     "expertPlacement": {"slotsPerRank": 2, "maxBytesPerMove": 1, "minGainPercent": 1},
      "requestLimits": {}}
     """.trimIndent()
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetPlan.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetPlan.kt
@@ -55,7 +55,7 @@
         "fullConcurrency": $fullConcurrency,
         "rampMillis": $rampMillis
       },
-      "expertPlacement": {"slotsPerRank": 3, "maxBytesPerMove": 8000000000, "minGainPercent": 5, "horizonSteps": 100000},
+      "expertPlacement": {"slotsPerRank": 3, "maxBytesPerMove": 8000000000, "minGainPercent": 5},
       "requestLimits": {"maxBodyBytes": 1048576, "retryPercent": 20, "maxInFlightPerOrganisation": $maxInFlightPerOrganisation}
     }
     """.trimIndent()
