The target's life is told when it changes, not with every load report

Change: a frame of its own, sent when a link opens and when the target begins another life. Load reports are as before. Before and after: the same four tests of TargetChannel and the three scenarios with killed sides pass.

--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/SystemBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/SystemBenchmark.kt
@@ -20,6 +20,7 @@
 private const val FIRST_WARM_MILLIS = 10_000L
 private const val WARM_MILLIS = 2_000L
 private const val MEASURE_MILLIS = 5_000L
+private const val REST_MILLIS = 10_000L
 private const val CHANGES = 10
 private const val KILOBYTES_PER_MEGABYTE = 1_024
 private val percents = listOf(50.0, 95.0, 99.0)
@@ -39,10 +40,28 @@
 
 private fun memory(fleet: Fleet) {
     val names = listOf("entry-1", "entry-2", "side-model-1", "side-booking-1")
-    val rows = names.map { listOf(it, "${residentKilobytes(fleet.process(it).pid) / KILOBYTES_PER_MEGABYTE}", "256") }
-    printTable("Memory at rest, 15 links an entry", listOf("process", "resident MB", "budget MB"), rows)
+    val before = names.map { processorMillis(fleet.process(it).pid) }
+    Thread.sleep(REST_MILLIS)
+    val rows =
+        names.mapIndexed { index, name ->
+            val pid = fleet.process(name).pid
+            val percent = (processorMillis(pid) - before[index]) * 100.0 / REST_MILLIS
+            listOf(name, "${residentKilobytes(pid) / KILOBYTES_PER_MEGABYTE}", "256", format(percent), "3.9")
+        }
+    val columns = listOf("process", "resident MB", "budget MB", "% of a core", "budget %")
+    printTable("Memory and processor at rest, 15 links an entry", columns, rows)
 }
 
+/** Processor time that process [pid] has used, in milliseconds. */
+private fun processorMillis(pid: Long): Long =
+    ProcessHandle
+        .of(pid)
+        .get()
+        .info()
+        .totalCpuDuration()
+        .get()
+        .toMillis()
+
 private fun residentKilobytes(pid: Long): Long {
     val line = Files.readAllLines(Path.of("/proc/$pid/status")).first { it.startsWith("VmRSS:") }
     return line.filter { it.isDigit() }.toLong()
--- a/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
@@ -192,6 +192,7 @@
         when (frame) {
             is Frame.Hello -> introduced(link, frame)
             is Frame.Load -> loaded(frame)
+            is Frame.TargetLife -> targetSeen(frame)
             is Frame.Head -> deliver(frame.attemptId, frame)
             is Frame.Chunk -> deliver(frame.attemptId, frame)
             is Frame.End -> deliver(frame.attemptId, frame)
@@ -228,8 +229,10 @@
         loadAtNanos = System.nanoTime()
         sentSinceReport.set(0)
         wasTried = true
-        val targetIncarnation = report.targetIncarnation ?: return
-        blame.onTargetSeen(targetIncarnation)?.let { listener.onReplaced(it.identity, it.fingerprints) }
+    }
+
+    private fun targetSeen(life: Frame.TargetLife) {
+        blame.onTargetSeen(life.incarnation)?.let { listener.onReplaced(it.identity, it.fingerprints) }
     }
 
     private fun deliver(attemptId: Long, frame: Frame) {
--- a/entry/src/test/kotlin/io/jaybeam/entry/targets/TargetChannelTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/targets/TargetChannelTest.kt
@@ -40,7 +40,7 @@
         val link = OpenLink()
         channel.connected(link)
         channel.onFrame(link, Frame.Hello(1, TargetIncarnation("model-1", side), "pdx", "chat", 0))
-        channel.onFrame(link, Frame.Load(0, 0, 1, 0.0, leaving = target == null, targetIncarnation = target))
+        if (target != null) channel.onFrame(link, Frame.TargetLife(target))
         return link
     }
 
@@ -56,7 +56,7 @@
         send("first")
         channel.onClosed(first, "cut")
         val second = link("second", target = null)
-        channel.onFrame(second, Frame.Load(0, 0, 1, 0.0, leaving = false, targetIncarnation = "life-1"))
+        channel.onFrame(second, Frame.TargetLife("life-1"))
         assertEquals(emptyList(), listener.blamed)
     }
 
@@ -76,7 +76,7 @@
         channel.onClosed(first, "cut")
         val second = link("second", target = null)
         assertEquals(emptyList(), listener.blamed)
-        channel.onFrame(second, Frame.Load(0, 0, 1, 0.0, leaving = false, targetIncarnation = "life-2"))
+        channel.onFrame(second, Frame.TargetLife("life-2"))
         assertEquals(listOf("fingerprint"), listener.blamed)
     }
 
--- a/side/src/main/kotlin/io/jaybeam/side/SideProcess.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/SideProcess.kt
@@ -118,6 +118,7 @@
         links += link
         link.send(Frame.Hello(PROTOCOL_VERSION, self, settings.common.dataCentre, settings.target.service, config.version()))
         link.send(work.loadReport())
+        work.targetLifeOrNull()?.let(link::send)
         exchange.onPeerVersion(link, hello.configVersion)
         events.write(LogEvent.LINK_OPENED, LogField("peer", hello.identity.instance))
     }
--- a/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
@@ -98,16 +98,12 @@
     /** Returns the frame that tells entries how loaded the target is. */
     fun loadReport(): Frame.Load {
         val now = snapshot
-        return Frame.Load(
-            now.inFlight,
-            now.queued,
-            now.limit,
-            now.stepMillis,
-            leaving = !now.takesWork,
-            targetIncarnation = now.targetIncarnation,
-        )
+        return Frame.Load(now.inFlight, now.queued, now.limit, now.stepMillis, leaving = !now.takesWork)
     }
 
+    /** Returns the frame that names the target's present life, or null while it is down. */
+    fun targetLifeOrNull(): Frame.TargetLife? = snapshot.targetIncarnation?.let { Frame.TargetLife(it) }
+
     private fun handle(message: WorkMessage) {
         when (message) {
             is WorkMessage.Arrive -> arrive(message.link, message.execute)
@@ -347,7 +343,7 @@
     }
 
     private fun publish() {
-        val tookWork = snapshot.takesWork
+        val before = snapshot
         snapshot =
             WorkSnapshot(
                 inFlight = admission.inFlight,
@@ -362,7 +358,8 @@
             )
         idle = store.isIdle
         // Between heartbeats entries would send work to a target that refuses it, or refuse calls that it would take.
-        if (snapshot.takesWork != tookWork) broadcast(loadReport())
+        if (snapshot.takesWork != before.takesWork) broadcast(loadReport())
+        if (snapshot.targetIncarnation != before.targetIncarnation) targetLifeOrNull()?.let(broadcast)
     }
 }
 
--- a/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
@@ -156,10 +156,7 @@
         @CborLabel(3) val detail: String,
     ) : Frame()
 
-    /**
-     * The target's load; [stepMillis] is its usual time between tokens, 0 where it is not known; [targetIncarnation]
-     * names the target's present life, null while it is down.
-     */
+    /** The target's load; [stepMillis] is its usual time between tokens, 0 where it is not known. */
     @Serializable
     @SerialName("ld")
     public data class Load(
@@ -168,7 +165,13 @@
         @CborLabel(3) val limit: Int,
         @CborLabel(4) val stepMillis: Double,
         @CborLabel(5) val leaving: Boolean,
-        @CborLabel(6) val targetIncarnation: String? = null,
+    ) : Frame()
+
+    /** The target's present life is [incarnation]; sent when a link opens and when the target began another. */
+    @Serializable
+    @SerialName("tl")
+    public data class TargetLife(
+        @CborLabel(1) val incarnation: String,
     ) : Frame()
 
     /** Requests in flight at a crash of a target. */
