An entry uses a link only after the side on it has introduced itself

The kernel accepts connections for a frozen process; the entry knew the side's identity from the link before, took the new link for usable, sent again, lost it to silence after 3 s, and so on until the caller's deadline. Idempotent calls could not go elsewhere either.

Ruled out: the walk itself (its steps are right once the loss is seen), the resend at the side (nothing ran there).

Change: a link counts as up only when its own Hello has come. While one is open and not introduced no second is opened.

Conclusion: an open connection says nothing of the process behind it.

--- a/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
@@ -95,6 +95,10 @@
     @Volatile
     private var link: Link? = null
 
+    /** The link on which the side has introduced itself; a frozen side accepts links and says nothing on them. */
+    @Volatile
+    private var introducedLink: Link? = null
+
     @Volatile
     private var identity: TargetIncarnation? = null
 
@@ -104,6 +108,7 @@
     @Volatile
     private var loadAtNanos = System.nanoTime()
 
+    /** Whether a link is being opened or has not been introduced yet. */
     @Volatile
     var connecting = false
 
@@ -113,7 +118,7 @@
         private set
 
     /** Whether a link is open and its side has introduced itself. */
-    val isUp: Boolean get() = link?.isOpen == true && identity != null
+    val isUp: Boolean get() = introducedLinkOrNull() != null
 
     /** Attempts under way. */
     val attemptCount: Int get() = attempts.size
@@ -136,7 +141,7 @@
 
     /** Sends [execute] to [expected]; returns null if that incarnation is not reached now. */
     fun open(expected: TargetIncarnation, execute: Frame.Execute): Attempt? {
-        val current = link?.takeIf { it.isOpen && identity == expected } ?: return null
+        val current = introducedLinkOrNull()?.takeIf { identity == expected } ?: return null
         val attempt = Attempt(execute.requestId, execute.attemptId, execute.fingerprint, current)
         attempts[execute.attemptId] = attempt
         sentSinceReport.incrementAndGet()
@@ -169,7 +174,6 @@
     /** Takes a new link; its side has not introduced itself yet. */
     fun connected(link: Link) {
         this.link = link
-        connecting = false
     }
 
     /** Notes that no link could be opened. */
@@ -180,7 +184,7 @@
 
     /** Sends [frame] if a link is open. */
     fun send(frame: Frame) {
-        link?.takeIf { isUp }?.send(frame)
+        introducedLinkOrNull()?.send(frame)
     }
 
     /** Closes the link. */
@@ -206,6 +210,7 @@
     override fun onClosed(link: Link, reason: String) {
         if (this.link !== link) return
         this.link = null
+        connecting = false
         wasTried = true
         attempts.values.filter { it.isOn(link) }.forEach {
             blame.onLost(it.fingerprint)
@@ -214,10 +219,14 @@
         listener.onLinkClosed(listed.instance, reason)
     }
 
+    private fun introducedLinkOrNull(): Link? = introducedLink?.takeIf { it === link && it.isOpen }
+
     private fun introduced(link: Link, hello: Frame.Hello) {
         val before = identity
         lock.withLock {
             identity = hello.identity
+            introducedLink = link
+            connecting = false
             changed.signalAll()
         }
         blame.onIntroduced(before, hello.identity)
--- a/entry/src/test/kotlin/io/jaybeam/entry/targets/TargetChannelTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/targets/TargetChannelTest.kt
@@ -7,6 +7,7 @@
 import io.jaybeam.wire.Link
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNotNull
 
 internal class TargetChannelTest {
@@ -80,6 +81,15 @@
         assertEquals(listOf("fingerprint"), listener.blamed)
     }
 
+    @Test
+    fun `a new link takes no work before its side has introduced itself`() {
+        val first = link("first", target = "life-1")
+        channel.onClosed(first, "nothing arrived")
+        channel.connected(OpenLink())
+        assertFalse(channel.isUp)
+        assertEquals(Reach.DOWN, channel.await(TargetIncarnation("model-1", "first"), timeoutMillis = 10))
+    }
+
     @Test
     fun `a cut connection to the same side blames nothing`() {
         val first = link("first", target = "life-1")
--- a/scenarios/src/test/resources/features/at-most-once.feature
+++ b/scenarios/src/test/resources/features/at-most-once.feature
@@ -41,6 +41,18 @@
     Then reply 3 to booking "plank" is whole
     And booking "plank" ran 1 time
 
+  Scenario: A frozen side wakes after its entry has found it silent
+    Given a site with 2 entries, 0 model targets and 3 booking targets
+    When a ticket for booking "beam" is taken through entry 1
+    And the side that may first run booking "beam" is frozen
+    And booking "beam" is sent again through entry 1
+    Then reply 1 to booking "beam" says "outcome unknown"
+    When the side that may first run booking "beam" is thawed
+    And 2000 ms pass
+    And booking "beam" is sent again through entry 2
+    Then booking "beam" ran at most 1 time
+    And every booking ran at most once, and none of which "not run" was said
+
   Scenario: The entry is killed while the booking runs
     Given a site with 2 entries, 0 model targets and 3 booking targets
     And the booking services answer after 1500 ms
