--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
@@ -61,7 +61,7 @@
 }
 
 /** One entry. */
-public class EntryNode internal constructor(
+public class EntryInstance internal constructor(
     /** Instance name. */
     public val instance: String,
     internal val dataCentre: String,
@@ -97,8 +97,8 @@
     internal val verifier: ChangeVerifier get() = ChangeVerifier(mapOf("ops" to keys.public))
 
     /** The entries. */
-    public val entries: List<EntryNode> =
-        List(plan.entries) { EntryNode("entry-${it + 1}", dataCentre(it), freePort(), freePort()) }
+    public val entries: List<EntryInstance> =
+        List(plan.entries) { EntryInstance("entry-${it + 1}", dataCentre(it), freePort(), freePort()) }
 
     /** Model targets, then plain ones. */
     public val targets: List<TargetPair> =
@@ -214,7 +214,7 @@
     }
 
     /** Starts [entry]. */
-    public fun startEntry(entry: EntryNode) {
+    public fun startEntry(entry: EntryInstance) {
         val text =
             """{${common(entry.instance, entry.dataCentre, entry.adminPort)}, "callerPort": ${entry.callerPort},
             "snapshotIntervalMillis": ${plan.snapshotIntervalMillis}, "drainGraceMillis": 500}"""
@@ -240,7 +240,7 @@
     }
 
     /** Waits until [entry] is ready and linked to every side that runs. */
-    public fun awaitReady(entry: EntryNode) {
+    public fun awaitReady(entry: EntryInstance) {
         awaitTrue(entry.instance) { get("${entry.adminUrl}/readyz") != null }
         val running = targets.count { processes["side-${it.instance}"]?.isAlive == true }
         awaitTrue("links of ${entry.instance}") { linkedTargets(entry) >= running }
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetRelays.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetRelays.kt
@@ -9,7 +9,7 @@
 
 /** Owns the relays of a fleet. */
 internal class FleetRelays(
-    private val entries: List<EntryNode>,
+    private val entries: List<EntryInstance>,
     private val targets: List<TargetPair>,
     logPort: Int,
 ) : AutoCloseable {
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetState.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetState.kt
@@ -34,10 +34,11 @@
 public fun Fleet.logEnd(): Long = checkNotNull(LogClient(logUrl).read(CONFIG_STREAM, 0, 0).getOrNull()).nextOffset - 1
 
 /** Returns how many targets [entry] has a link to. */
-public fun Fleet.linkedTargets(entry: EntryNode): Int = get("${entry.adminUrl}/dump")?.split("\"linked\":true")?.let { it.size - 1 } ?: 0
+public fun Fleet.linkedTargets(entry: EntryInstance): Int =
+    get("${entry.adminUrl}/dump")?.split("\"linked\":true")?.let { it.size - 1 } ?: 0
 
 /** Returns how many targets [entry] may send new work to. */
-public fun Fleet.targetsTakingWork(entry: EntryNode): Int =
+public fun Fleet.targetsTakingWork(entry: EntryInstance): Int =
     get("${entry.adminUrl}/dump")?.split("\"takesWork\":true")?.let { it.size - 1 } ?: 0
 
 /** Returns the requests in flight at the model targets of [dataCentre]. */
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
@@ -39,27 +39,19 @@
 
     @When("booking {string} is sent with a ticket through entry {int}")
     fun sendWithTicket(name: String, entry: Int) {
-        val ticket = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
-        send(name, CallOptions(ticket = ticket, booking = name), entry)
-    }
-
-    @When("booking {string} is sent with a ticket and a deadline of {int} ms through entry {int}")
-    fun sendWithDeadline(name: String, deadlineMillis: Int, entry: Int) {
-        val ticket = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
-        send(name, CallOptions(ticket = ticket, booking = name, deadlineMillis = deadlineMillis.toLong()), entry)
+        send(name, CallOptions(ticket = ticketFrom(entry), booking = name), entry)
     }
 
     @When("a ticket for booking {string} is taken through entry {int}")
     fun takeTicket(name: String, entry: Int) {
-        val ticket = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
-        bookings[name] = Booking(CallOptions(ticket = ticket, booking = name))
+        bookings[name] = Booking(CallOptions(ticket = ticketFrom(entry), booking = name))
     }
 
     @When("entry {int} is started again and asked for a ticket for booking {string} as soon as it is ready")
     fun startAndTakeTicket(entry: Int, name: String) {
-        val node = Site.entry(entry)
-        fleet.startEntry(node)
-        fleet.awaitTrue(node.instance) { fleet.get("${node.adminUrl}/readyz") != null }
+        val started = Site.entry(entry)
+        fleet.startEntry(started)
+        fleet.awaitTrue(started.instance) { fleet.get("${started.adminUrl}/readyz") != null }
         takeTicket(name, entry)
     }
 
@@ -196,6 +188,8 @@
         Thread.sleep(PROPAGATION_MILLIS)
     }
 
+    private fun ticketFrom(entry: Int) = checkNotNull(caller.ticketOrNull(Site.entry(entry).url)) { "no ticket" }
+
     private fun send(name: String, options: CallOptions, entry: Int) {
         bookings.getOrPut(name) { Booking(options) }.replies += sendAsync(options, entry)
     }
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
@@ -34,7 +34,7 @@
 
     fun target(instance: String): TargetPair = fleet.targets.first { it.instance == instance }
 
-    fun entry(number: Int): EntryNode = fleet.entries[number - 1]
+    fun entry(number: Int): EntryInstance = fleet.entries[number - 1]
 }
 
 /** Steps that start sites, and break and mend their processes. */
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/StreamSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/StreamSteps.kt
@@ -49,7 +49,7 @@
         load = Load(callers) { checked(readyEntry(it), "question ${it % 30} of the desk") }.start()
     }
 
-    private fun checked(entry: EntryNode, prompt: String): Reply {
+    private fun checked(entry: EntryInstance, prompt: String): Reply {
         val reply = callerOf(entry).chat(entry.url, prompt, tokens)
         if (reply is Reply.Whole && !reply.isWholeStream(prompt, tokens)) notWholeOrForeign += reply
         return reply
@@ -130,7 +130,7 @@
             false
         }
 
-    private fun startsOf(entry: EntryNode) =
+    private fun startsOf(entry: EntryInstance) =
         fleet
             .process(entry.instance)
             .outputText()
@@ -208,13 +208,13 @@
      * The platform's balancer gives callers only entries that are ready, and drops its idle connections to one that is
      * not. A trace showed that a caller that keeps such a connection sends on it two seconds after the entry closed it.
      */
-    private fun readyEntry(sequence: Int): EntryNode {
+    private fun readyEntry(sequence: Int): EntryInstance {
         val (ready, leaving) = fleet.entries.partition { fleet.get("${it.adminUrl}/readyz") != null }
         leaving.forEach { callerByEntry[it.instance] = Caller() }
         return if (ready.isEmpty()) fleet.entries[sequence % fleet.entries.size] else ready[sequence % ready.size]
     }
 
-    private fun callerOf(entry: EntryNode) = callerByEntry.computeIfAbsent(entry.instance) { Caller() }
+    private fun callerOf(entry: EntryInstance) = callerByEntry.computeIfAbsent(entry.instance) { Caller() }
 }
 
 private const val START_OF_STREAM_MILLIS = 400L
--- a/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
@@ -16,7 +16,7 @@
 import kotlinx.serialization.cbor.CborLabel
 
 /** Version of this protocol; peers of another version are refused. */
-public const val PROTOCOL_VERSION: Int = 1
+public const val PROTOCOL_VERSION: Int = 2
 
 /** One HTTP header. */
 @Serializable
