--- a/core/src/main/kotlin/io/jaybeam/core/placement/ExpertMap.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/ExpertMap.kt
@@ -3,6 +3,8 @@
  */
 package io.jaybeam.core.placement
 
+import kotlinx.serialization.Serializable
+
 /**
  * What the experts of one layer cost and how fast the ranks are.
  *
@@ -25,6 +27,7 @@
  *
  * @property expertBySlot expert in each slot, the slots of rank 0 first; every expert stands in at least one.
  */
+@Serializable
 public data class ExpertMap(
     val slotsPerRank: Int,
     val expertBySlot: List<Int>,
--- a/core/src/main/kotlin/io/jaybeam/core/placement/PlacementPlanner.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/PlacementPlanner.kt
@@ -52,7 +52,7 @@
     return plan.takeIf { it.moves > 0 && it.gainPercent >= policy.minGainPercent }
 }
 
-private const val PERCENT = 100.0
+internal const val PERCENT = 100.0
 private const val SOLVED_SKEW = 1.0
 
 private class Share(
--- a/core/src/main/kotlin/io/jaybeam/core/placement/PlacementSearch.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/PlacementSearch.kt
@@ -33,16 +33,30 @@
 private const val CHAIN_WIDTH = 12
 private const val CHAIN_LENGTH = 10
 
-/** Searches from [start]; not thread-safe. */
+/** Searches from [start], loading at most [newPerRank] experts that a rank does not hold at the start; not thread-safe. */
 internal class PlacementSearch(
     start: ExpertMap,
     private val load: LayerLoad,
+    private val newPerRank: Int = Int.MAX_VALUE,
 ) {
     private val slotsPerRank = start.slotsPerRank
     private val expertBySlot = start.expertBySlot.toIntArray()
     private val copies = IntArray(load.expertCount)
     private val work = DoubleArray(load.rankCount)
     private val slotsByExpert = List(load.expertCount) { mutableListOf<Int>() }
+    private val heldAtStart =
+        List(load.rankCount) { rank ->
+            BooleanArray(load.expertCount).also { held ->
+                slotsOf(rank).forEach {
+                    held[expertBySlot[it]] =
+                        true
+                }
+            }
+        }
+    private val newOnRank = IntArray(load.rankCount)
+
+    /** Work that the replacement under examination adds to each rank. */
+    private val extraWork = DoubleArray(load.rankCount)
 
     init {
         expertBySlot.forEachIndexed { slot, expert ->
@@ -71,7 +85,7 @@
 
     private fun time(rank: Int) = work[rank] / load.speedByRank[rank]
 
-    private fun time(rank: Int, extraWork: Double) = (work[rank] + extraWork) / load.speedByRank[rank]
+    private fun time(rank: Int, added: Double) = (work[rank] + added) / load.speedByRank[rank]
 
     private fun share(expert: Int) = load.loadByExpert[expert] / copies[expert]
 
@@ -86,7 +100,7 @@
         val slowestTime = time(slowest)
         var best: Change? = null
         var bestRelief = MIN_RELIEF
-        changesAt(slowest).filter { it.moves <= movesLeft }.forEach { change ->
+        changesAt(slowest).filter { it.moves <= movesLeft && isWithinNew(it) }.forEach { change ->
             val relief = (slowestTime - change.worstAfter) / change.moves
             if (relief > bestRelief) {
                 best = change
@@ -104,10 +118,11 @@
         val slowest = work.indices.maxBy(::time)
         val slowestTime = time(slowest)
         val heaviest = slotsOf(slowest).maxBy { share(expertBySlot[it]) }
-        val copies = relieving(expertBySlot[heaviest]).sortedBy { it.worstAfter }.take(CHAIN_WIDTH)
+        val copies = relieving(expertBySlot[heaviest]).filter(::isWithinNew).sortedBy { it.worstAfter }.take(CHAIN_WIDTH)
         val exchanges =
             expertBySlot.indices
                 .mapNotNull { exchange(heaviest, it) }
+                .filter(::isWithinNew)
                 .sortedBy { it.worstAfter }
                 .take(CHAIN_WIDTH)
         return (copies + exchanges).firstNotNullOfOrNull { movesOfChainOrNull(it, movesLeft, slowestTime) } ?: 0
@@ -181,14 +196,41 @@
         next: Int,
         nextShare: Double,
     ): Change.Replace {
-        val extra = HashMap<Int, Double>()
+        val oldShare = share(old)
         val oldShareAfter = load.loadByExpert[old] / (copies[old] - 1)
-        slotsByExpert[old].forEach { extra.merge(rankOf(it), if (it == slot) -share(old) else oldShareAfter - share(old), Double::plus) }
-        slotsByExpert[next].forEach { extra.merge(rankOf(it), nextShare - share(next), Double::plus) }
-        extra.merge(rankOf(slot), nextShare, Double::plus)
-        return Change.Replace(slot, next, extra.maxOf { (rank, amount) -> time(rank, amount) })
+        val nextShareBefore = share(next)
+        slotsByExpert[old].forEach { extraWork[rankOf(it)] += if (it == slot) -oldShare else oldShareAfter - oldShare }
+        slotsByExpert[next].forEach { extraWork[rankOf(it)] += nextShare - nextShareBefore }
+        extraWork[rankOf(slot)] += nextShare
+        val worst = maxOf(worstTouched(old), worstTouched(next), time(rankOf(slot), extraWork[rankOf(slot)]))
+        slotsByExpert[old].forEach { extraWork[rankOf(it)] = 0.0 }
+        slotsByExpert[next].forEach { extraWork[rankOf(it)] = 0.0 }
+        extraWork[rankOf(slot)] = 0.0
+        return Change.Replace(slot, next, worst)
+    }
+
+    private fun worstTouched(expert: Int): Double {
+        var worst = 0.0
+        slotsByExpert[expert].forEach { worst = maxOf(worst, time(rankOf(it), extraWork[rankOf(it)])) }
+        return worst
     }
 
+    private fun isWithinNew(change: Change): Boolean =
+        newPerRank == Int.MAX_VALUE ||
+            when (change) {
+                is Change.Exchange ->
+                    isWithinNew(change.slot, expertBySlot[change.other]) &&
+                        isWithinNew(change.other, expertBySlot[change.slot])
+                is Change.Replace -> isWithinNew(change.slot, change.expert)
+            }
+
+    private fun isWithinNew(slot: Int, next: Int): Boolean {
+        val rank = rankOf(slot)
+        return newOnRank[rank] - newCount(rank, expertBySlot[slot]) + newCount(rank, next) <= newPerRank
+    }
+
+    private fun newCount(rank: Int, expert: Int) = if (heldAtStart[rank][expert]) 0 else 1
+
     private fun apply(change: Change) {
         when (change) {
             is Change.Exchange -> {
@@ -206,6 +248,7 @@
 
     private fun assign(slot: Int, expert: Int) {
         val old = expertBySlot[slot]
+        newOnRank[rankOf(slot)] += newCount(rankOf(slot), expert) - newCount(rankOf(slot), old)
         reshare(old) {
             copies[old] -= 1
             slotsByExpert[old].remove(slot)
--- /dev/null
+++ b/core/src/main/kotlin/io/jaybeam/core/rankgroup/ArmedMapChange.kt
@@ -0,0 +1,393 @@
+/*
+ * Changes the expert map of a running rank group between two passes, without a pass in which ranks differ.
+ *
+ * The new map is prepared on all ranks and armed on all ranks for one pass. That pass is first held on one rank, so no
+ * rank can begin it, and released only after every rank was read as armed for it, or after every rank was read as
+ * disarmed. Each order carries a fencing token and the group's epoch. To give a change up, the coordinator takes a
+ * higher token and disarms with it, after which ranks refuse the earlier orders however late they arrive. A new
+ * coordinator first raises the token on every rank and only then reads them.
+ */
+package io.jaybeam.core.rankgroup
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** A map that is due to be used from pass [pass] on. */
+@Serializable
+public data class ArmedMap(
+    val version: Long,
+    val pass: Long,
+)
+
+/**
+ * State of one rank, read from it.
+ *
+ * @property epoch incarnation of the group.
+ * @property isOpen the group makes passes.
+ * @property lastPass the last pass that was begun.
+ * @property mapVersion version of the map in use.
+ * @property preparedVersion version that is loaded and can be armed; 0 is none.
+ * @property heldPass pass that does not begin until it is released; null where none is held.
+ */
+@Serializable
+public data class RankReading(
+    val rank: Int,
+    val epoch: Long,
+    val isOpen: Boolean,
+    val lastPass: Long,
+    val mapVersion: Long,
+    val preparedVersion: Long,
+    val armed: ArmedMap?,
+    val heldPass: Long?,
+)
+
+/** An order to one rank. The rank refuses it in another [epoch] or after a higher [fence]. */
+@Serializable
+public sealed class FencedOrder {
+    public abstract val rank: Int
+    public abstract val epoch: Long
+    public abstract val fence: Long
+
+    /** Raises the rank's fencing token and changes nothing else. */
+    @Serializable
+    @SerialName("c")
+    public data class Claim(
+        override val rank: Int,
+        override val epoch: Long,
+        override val fence: Long,
+    ) : FencedOrder()
+
+    /** Load the weights that map [version] adds. */
+    @Serializable
+    @SerialName("p")
+    public data class Prepare(
+        override val rank: Int,
+        override val epoch: Long,
+        override val fence: Long,
+        val version: Long,
+    ) : FencedOrder()
+
+    /** Do not begin [pass] until it is released. */
+    @Serializable
+    @SerialName("h")
+    public data class Hold(
+        override val rank: Int,
+        override val epoch: Long,
+        override val fence: Long,
+        val pass: Long,
+    ) : FencedOrder()
+
+    /** Use map [version] from [pass] on. */
+    @Serializable
+    @SerialName("a")
+    public data class Arm(
+        override val rank: Int,
+        override val epoch: Long,
+        override val fence: Long,
+        val version: Long,
+        val pass: Long,
+    ) : FencedOrder()
+
+    /** Forget the armed map [version]. */
+    @Serializable
+    @SerialName("d")
+    public data class Disarm(
+        override val rank: Int,
+        override val epoch: Long,
+        override val fence: Long,
+        val version: Long,
+    ) : FencedOrder()
+
+    /** Begin [pass] after all. */
+    @Serializable
+    @SerialName("r")
+    public data class Release(
+        override val rank: Int,
+        override val epoch: Long,
+        override val fence: Long,
+        val pass: Long,
+    ) : FencedOrder()
+}
+
+/** What became of an order. */
+@Serializable
+public enum class OrderOutcome {
+    /** Begun, or its result is there already. */
+    ACCEPTED,
+
+    /** Does not fit the rank's state; nothing changed. */
+    CONFLICT,
+
+    /** A higher fencing token has been used on the rank. */
+    FENCED,
+
+    /** No answer: it may have been carried out, or may be later. */
+    UNKNOWN,
+}
+
+/** Answer to an order, with what was read of the rank afterwards; [reading] is null if the rank did not answer. */
+public data class OrderReply(
+    val order: FencedOrder,
+    val outcome: OrderOutcome,
+    val reading: RankReading?,
+) {
+    /** Whether the rank has seen the order's fencing token and was read after that. */
+    val isAnswered: Boolean get() = outcome != OrderOutcome.UNKNOWN && reading != null
+}
+
+/** How far the coordinator is with the group. */
+public sealed class MapPhase {
+    /** Raises the fencing token on every rank. */
+    public data class Claiming(
+        val fence: Long,
+        val claimed: Set<Int> = emptySet(),
+    ) : MapPhase()
+
+    /** All ranks use one map and nothing is armed or held. */
+    public data object Settled : MapPhase()
+
+    /** Ranks load the weights of [version]. */
+    public data class Preparing(
+        val version: Long,
+        val sinceMillis: Long,
+    ) : MapPhase()
+
+    /** The pass of the change is being held on one rank. */
+    public data class Holding(
+        val version: Long,
+        val pass: Long,
+        val sinceMillis: Long,
+    ) : MapPhase()
+
+    /** [pass] is held; ranks are being armed for it. */
+    public data class Arming(
+        val version: Long,
+        val pass: Long,
+        val sinceMillis: Long,
+    ) : MapPhase()
+
+    /** All ranks are armed for [pass], which is being released. */
+    public data class Releasing(
+        val version: Long,
+        val pass: Long,
+    ) : MapPhase()
+
+    /** Ranks are being disarmed; [disarmed] have answered under the present token. */
+    public data class Undoing(
+        val disarmed: Set<Int> = emptySet(),
+    ) : MapPhase()
+
+    /** Another coordinator has a higher token; this one gives no more orders. */
+    public data object Deposed : MapPhase()
+}
+
+/**
+ * Timing of a change.
+ *
+ * @property passesAhead passes between the last pass known to have begun and the one at which a map is armed.
+ * @property prepareMillis time after which a change whose weights have not arrived is given up.
+ * @property armMillis time after which a change that is not armed everywhere is given up.
+ */
+public data class MapTiming(
+    val passesAhead: Long = 4,
+    val prepareMillis: Long = 6_000,
+    val armMillis: Long = 600,
+)
+
+/**
+ * Coordinates one group of [size] ranks; [holder] is the rank on which passes are held, best the nearest one.
+ *
+ * Not thread-safe. [firstFence] must be higher than any that another coordinator has used.
+ */
+public class ArmedMapChange(
+    private val size: Int,
+    private val holder: Int,
+    firstFence: Long,
+    private val timing: MapTiming = MapTiming(),
+) {
+    private val readings = HashMap<Int, RankReading>()
+
+    /** Token of the next order. */
+    public var fence: Long = firstFence
+        private set
+
+    /** How far the coordinator is. */
+    public var phase: MapPhase = MapPhase.Claiming(firstFence)
+        private set
+
+    /** Whether a new map may be proposed. */
+    public val isSettled: Boolean get() = phase is MapPhase.Settled && isUniform()
+
+    /** Version in use on all ranks; null where it is not known or ranks await a change. */
+    public val mapVersion: Long? get() = if (isSettled) readings.getValue(0).mapVersion else null
+
+    /** Last reading of each rank that is known, by rank. */
+    public val known: Map<Int, RankReading> get() = readings
+
+    /** Begins the change to [version], which must be higher than any version before. */
+    public fun propose(version: Long, nowMillis: Long) {
+        check(isSettled) { "a change is under way; wait until the coordinator is settled" }
+        // Orders of an earlier change that are carried out late are refused from here on.
+        fence += 1
+        phase = MapPhase.Preparing(version, nowMillis)
+    }
+
+    /** Notes what was read of a rank. */
+    public fun onReading(reading: RankReading) {
+        val before = readings.put(reading.rank, reading)
+        if (phase is MapPhase.Deposed) return
+        // Ranks forget maps, holds and tokens in a new epoch.
+        if (before != null && reading.epoch != before.epoch) phase = MapPhase.Claiming(fence)
+    }
+
+    /** Notes the answer to an order. Answers to orders under an earlier token change nothing but the reading. */
+    public fun onReply(reply: OrderReply) {
+        reply.reading?.let(::onReading)
+        if (phase is MapPhase.Deposed || reply.order.fence != fence) return
+        if (reply.outcome == OrderOutcome.FENCED) {
+            phase = MapPhase.Deposed
+            return
+        }
+        if (reply.order.epoch != readings[reply.order.rank]?.epoch) return
+        when (reply.order) {
+            is FencedOrder.Claim, is FencedOrder.Disarm -> if (reply.isAnswered) noteAnswered(reply.order)
+            is FencedOrder.Prepare -> if (reply.outcome == OrderOutcome.CONFLICT && phase is MapPhase.Preparing) phase = MapPhase.Settled
+            is FencedOrder.Hold -> if (reply.outcome == OrderOutcome.CONFLICT && phase is MapPhase.Holding) giveUp()
+            is FencedOrder.Arm -> if (reply.outcome == OrderOutcome.CONFLICT && phase is MapPhase.Arming) giveUp()
+            is FencedOrder.Release -> Unit
+        }
+    }
+
+    private fun noteAnswered(order: FencedOrder) {
+        val now = phase
+        if (now is MapPhase.Claiming && order is FencedOrder.Claim) phase = now.copy(claimed = now.claimed + order.rank)
+        if (now is MapPhase.Undoing && order is FencedOrder.Disarm) phase = now.copy(disarmed = now.disarmed + order.rank)
+    }
+
+    /** Moves on as far as the readings allow and returns the orders that are due; unanswered ones are due again. */
+    public fun ordersDue(nowMillis: Long): List<FencedOrder> {
+        if (!isWholeAndOpen()) return emptyList()
+        repeat(MAX_ADVANCES) {
+            val before = phase
+            advance(nowMillis)
+            if (phase == before) return orders()
+        }
+        return orders()
+    }
+
+    private fun advance(nowMillis: Long) {
+        when (val now = phase) {
+            is MapPhase.Claiming -> if (now.claimed.size == size) phase = afterClaim()
+            is MapPhase.Settled -> if (readings.values.any { it.heldPass != null }) giveUp()
+            is MapPhase.Preparing -> advancePreparing(now, nowMillis)
+            is MapPhase.Holding -> advanceHolding(now, nowMillis)
+            is MapPhase.Arming -> advanceArming(now, nowMillis)
+            is MapPhase.Releasing -> if (isUniform()) phase = MapPhase.Settled
+            is MapPhase.Undoing -> if (now.disarmed.size == size && isUniform()) phase = MapPhase.Settled
+            is MapPhase.Deposed -> Unit
+        }
+    }
+
+    private fun afterClaim(): MapPhase {
+        if (isUniform()) return MapPhase.Settled
+        val armed =
+            readings.values
+                .map { it.armed }
+                .toSet()
+                .singleOrNull()
+        if (armed != null && isOneMap()) return MapPhase.Releasing(armed.version, armed.pass)
+        return MapPhase.Undoing()
+    }
+
+    private fun advancePreparing(now: MapPhase.Preparing, nowMillis: Long) {
+        if (readings.values.all { it.preparedVersion == now.version }) {
+            val pass = readings.values.maxOf { it.lastPass } + timing.passesAhead
+            phase = MapPhase.Holding(now.version, pass, nowMillis)
+        } else if (nowMillis - now.sinceMillis > timing.prepareMillis) {
+            phase = MapPhase.Settled
+        }
+    }
+
+    private fun advanceHolding(now: MapPhase.Holding, nowMillis: Long) {
+        when {
+            readings.getValue(holder).heldPass == now.pass -> phase = MapPhase.Arming(now.version, now.pass, nowMillis)
+            nowMillis - now.sinceMillis > timing.armMillis -> giveUp()
+        }
+    }
+
+    private fun advanceArming(now: MapPhase.Arming, nowMillis: Long) {
+        val wanted = ArmedMap(now.version, now.pass)
+        when {
+            readings.values.all { it.armed == wanted } -> phase = MapPhase.Releasing(now.version, now.pass)
+            nowMillis - now.sinceMillis > timing.armMillis -> giveUp()
+        }
+    }
+
+    private fun giveUp() {
+        fence += 1
+        phase = MapPhase.Undoing()
+    }
+
+    private fun orders(): List<FencedOrder> =
+        when (val now = phase) {
+            is MapPhase.Claiming -> {
+                unclaimed(now.claimed).map { FencedOrder.Claim(it.rank, it.epoch, fence) }
+            }
+
+            is MapPhase.Preparing -> {
+                readings.values.filter { it.preparedVersion != now.version }.map {
+                    FencedOrder.Prepare(
+                        it.rank,
+                        it.epoch,
+                        fence,
+                        now.version,
+                    )
+                }
+            }
+
+            is MapPhase.Holding -> {
+                listOf(readings.getValue(holder)).map { FencedOrder.Hold(it.rank, it.epoch, fence, now.pass) }
+            }
+
+            is MapPhase.Arming -> {
+                val wanted = ArmedMap(now.version, now.pass)
+                readings.values.filter { it.armed != wanted }.map { FencedOrder.Arm(it.rank, it.epoch, fence, now.version, now.pass) }
+            }
+
+            is MapPhase.Releasing -> {
+                releases()
+            }
+
+            is MapPhase.Undoing -> {
+                if (now.disarmed.size < size) disarms(now) else releases()
+            }
+
+            is MapPhase.Settled, MapPhase.Deposed -> {
+                emptyList()
+            }
+        }
+
+    private fun unclaimed(claimed: Set<Int>) = readings.values.filter { it.rank !in claimed }
+
+    private fun disarms(now: MapPhase.Undoing): List<FencedOrder> =
+        unclaimed(now.disarmed).map { FencedOrder.Disarm(it.rank, it.epoch, fence, it.armed?.version ?: it.preparedVersion) }
+
+    private fun releases(): List<FencedOrder> =
+        readings.values.mapNotNull { reading -> reading.heldPass?.let { FencedOrder.Release(reading.rank, reading.epoch, fence, it) } }
+
+    private fun isWholeAndOpen() =
+        readings.size == size && readings.values.all { it.isOpen } && readings.values
+            .map { it.epoch }
+            .toSet()
+            .size == 1
+
+    private fun isOneMap() =
+        readings.values
+            .map { it.mapVersion }
+            .toSet()
+            .size == 1
+
+    private fun isUniform() = readings.size == size && isOneMap() && readings.values.all { it.armed == null && it.heldPass == null }
+}
+
+private const val MAX_ADVANCES = 8
--- a/entry/src/main/kotlin/io/jaybeam/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntrySettings.kt
@@ -4,9 +4,9 @@
 package io.jaybeam.entry
 
 import io.jaybeam.core.json.JsonShape
-import io.jaybeam.platform.settings.CommonSettings
-import io.jaybeam.platform.settings.MAX_PORT
-import io.jaybeam.platform.settings.commonSettings
+import io.jaybeam.runtime.settings.CommonSettings
+import io.jaybeam.runtime.settings.MAX_PORT
+import io.jaybeam.runtime.settings.commonSettings
 
 /** Everything that an entry instance is told. */
 internal data class EntrySettings(
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectCallerPort.kt
@@ -0,0 +1,158 @@
+/*
+ * The HTTP ports of an entry that sends to targets directly: one for callers, one for the balancer's readiness question
+ * and one for operators.
+ */
+package io.jaybeam.entry.direct
+
+import io.javalin.Javalin
+import io.javalin.compression.CompressionStrategy
+import io.javalin.http.Context
+import io.javalin.http.HandlerType
+import io.javalin.router.Endpoint
+import io.jaybeam.core.fleet.HostPort
+import io.jaybeam.platform.Header
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest
+import org.eclipse.jetty.http.UriCompliance
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+
+// Each request under way has a thread; an entry of 430 MB bears these with stacks of 256 KB.
+private const val MAX_THREADS = 400
+private const val MIN_THREADS = 8
+private const val IDLE_THREAD_MILLIS = 20_000
+private const val MAX_HEADER_BYTES = 32_768
+private const val ACCEPT_BACKLOG = 1_024
+private const val SELECTORS = 1
+
+// Callers reuse a connection that has been idle for up to four fifths of the 15 s that the platform states.
+private const val IDLE_CONNECTION_MILLIS = 60_000L
+private const val READY_PATH = "/v1/ready"
+
+private val methods =
+    listOf(HandlerType.GET, HandlerType.HEAD, HandlerType.POST, HandlerType.PUT, HandlerType.PATCH, HandlerType.DELETE, HandlerType.OPTIONS)
+
+/** Serves callers until closed. */
+internal class DirectCallerPort(
+    private val callers: HostPort,
+    readiness: HostPort?,
+    private val serve: (Context, ServletResponse) -> Unit,
+    private val isReady: () -> Boolean,
+    private val isStopping: () -> Boolean,
+) {
+    private val readinessPort = readiness?.takeIf { it != callers }?.port
+    private val server =
+        Javalin.create { config ->
+            config.startup.showJavalinBanner = false
+            config.http.compressionStrategy = CompressionStrategy.NONE
+            config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS, IDLE_THREAD_MILLIS)
+            config.jetty.addConnector { server, http -> connector(server, http, callers) }
+            if (readiness != null && readinessPort != null) config.jetty.addConnector { server, http -> connector(server, http, readiness) }
+            config.jetty.modifyHttpConfiguration(::configure)
+            methods.forEach { config.routes.addEndpoint(Endpoint.create(it, "*").handler(::handle)) }
+        }
+
+    fun start() {
+        server.start()
+    }
+
+    fun close() {
+        server.stop()
+    }
+
+    private fun configure(http: HttpConfiguration) {
+        http.requestHeaderSize = MAX_HEADER_BYTES
+        http.sendServerVersion = false
+        http.sendDateHeader = false
+        http.uriCompliance = UriCompliance.UNSAFE
+    }
+
+    private fun connector(server: Server, http: HttpConfiguration, address: HostPort): ServerConnector {
+        val connector = ServerConnector(server, null, null, null, 0, SELECTORS, WatchedConnectionFactory(HttpConnectionFactory(http)))
+        connector.host = address.host
+        connector.port = address.port
+        connector.acceptQueueSize = ACCEPT_BACKLOG
+        connector.idleTimeout = IDLE_CONNECTION_MILLIS
+        return connector
+    }
+
+    private fun handle(context: Context) {
+        if (context.req().localPort == readinessPort) {
+            context.status(if (context.req().requestURI == READY_PATH && isReady()) 200 else 503)
+            return
+        }
+        val response = ServletResponse(context, isStopping)
+        try {
+            serve(context, response)
+        } finally {
+            response.unwatch()
+        }
+    }
+}
+
+/** Writes an answer to the caller of [context]. */
+internal class ServletResponse(
+    private val context: Context,
+    private val isStopping: () -> Boolean,
+) : DirectResponse {
+    private val endPoint =
+        ServletContextRequest
+            .getServletContextRequest(context.req())
+            .connectionMetaData.connection.endPoint as WatchedEndPoint
+    private var onGone: (() -> Unit)? = null
+
+    @Volatile
+    override var isCallerGone: Boolean = false
+        private set
+
+    override var isCommitted: Boolean = false
+        private set
+
+    override fun watch(onGone: () -> Unit) {
+        endPoint.watch {
+            isCallerGone = true
+            onGone()
+        }
+    }
+
+    /** Stops watching the connection, which the next request may use. */
+    fun unwatch() {
+        endPoint.unwatch()
+    }
+
+    override fun head(status: Int, headers: List<Header>) {
+        val servlet = context.res()
+        servlet.status = status
+        headers.forEach { servlet.addHeader(it.name, it.value) }
+        announceClose()
+        isCommitted = true
+        servlet.flushBuffer()
+    }
+
+    override fun write(bytes: ByteArray, count: Int) {
+        val output = context.res().outputStream
+        output.write(bytes, 0, count)
+        output.flush()
+    }
+
+    override fun abort() {
+        // Closing the socket before the end of the body is the only way to show that the body is not whole.
+        endPoint.close()
+    }
+
+    override fun refuse(refusal: Refusal) {
+        val servlet = context.res()
+        servlet.status = refusal.status
+        servlet.contentType = "application/json"
+        refusal.retryAfterSeconds?.let { servlet.setHeader("Retry-After", it) }
+        announceClose()
+        isCommitted = true
+        servlet.outputStream.write("""{"error":"${refusal.name}","remedy":"${refusal.text}"}""".encodeToByteArray())
+    }
+
+    private fun announceClose() {
+        if (isStopping()) context.res().setHeader("Connection", "close")
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -0,0 +1,173 @@
+/*
+ * An entry that follows the fleet in the platform's store and sends requests to targets directly.
+ */
+package io.jaybeam.entry.direct
+
+import io.javalin.http.Context
+import io.jaybeam.core.fleet.FleetStore
+import io.jaybeam.core.fleet.HostPort
+import io.jaybeam.core.fleet.InstanceSettings
+import io.jaybeam.core.fleet.RouteMatch
+import io.jaybeam.core.fleet.RouteTable
+import io.jaybeam.core.fleet.serviceFor
+import io.jaybeam.core.routing.RetryBudget
+import io.jaybeam.platform.CallerRequest
+import io.jaybeam.platform.Header
+import io.jaybeam.platform.decodeCallerRequest
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.observe.LogEvent
+import io.jaybeam.runtime.observe.LogField
+import io.jaybeam.runtime.settings.ServingProcess
+import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+import kotlin.time.Clock
+
+// Entries that share the operator's retry slack; a fleet of more has less of it used.
+private const val ENTRIES_SHARING_SLACK = 12
+
+// The balancer asks each second and takes an instance out after two misses.
+private const val OUT_OF_ROTATION_MILLIS = 2_500L
+private const val STOP_MARGIN_MILLIS = 700L
+private const val DRAIN_CHECK_MILLIS = 20L
+
+/** An entry on the platform. */
+internal class DirectEntry(
+    private val settings: InstanceSettings,
+    store: FleetStore,
+    clock: Clock,
+) : ServingProcess {
+    private val events = EventLog(settings.instance, clock)
+    private val follower = FleetFollower(store, events)
+    private val loads = TargetLoads()
+    private val budgets = ConcurrentHashMap<String, RetryBudget>()
+    private val requestLog = RequestLog(events)
+    private val inFlight = AtomicInteger()
+
+    @Volatile
+    private var isStopping = false
+
+    private val forwarder =
+        DirectForwarder(
+            homeDataCentre = settings.dataCentre,
+            view = { follower.view },
+            loads = loads,
+            sender = TargetSender(),
+            budgetOf = { service -> budgets.computeIfAbsent(service) { RetryBudget(settings.bounds.retrySlack / ENTRIES_SHARING_SLACK) } },
+            retryPercent = settings.bounds.retryPercent,
+            onSendFailed = requestLog::sendFailed,
+            onResumed = requestLog::resumed,
+        )
+    private val port =
+        DirectCallerPort(
+            callers = settings.callers ?: HostPort(settings.host, 0),
+            readiness = settings.readiness,
+            serve = ::serve,
+            isReady = { !isStopping && follower.view.isComplete },
+            isStopping = { isStopping },
+        )
+
+    override fun start() {
+        events.write(LogEvent.PROCESS_STARTED, LogField("dataCentre", settings.dataCentre))
+        port.start()
+        follower.start()
+        events.write(LogEvent.PROCESS_READY, LogField("callers", "${settings.callers}"))
+    }
+
+    override fun stop() {
+        events.write(LogEvent.PROCESS_STOPPING, LogField("inFlight", "${inFlight.get()}"))
+        isStopping = true
+        val begunNanos = System.nanoTime()
+        val elapsedMillis = { (System.nanoTime() - begunNanos) / NANOS_PER_MILLI }
+        val limitMillis = settings.bounds.graceMillis - STOP_MARGIN_MILLIS
+        while (elapsedMillis() < limitMillis &&
+            (elapsedMillis() < OUT_OF_ROTATION_MILLIS || inFlight.get() > 0)
+        ) {
+            Thread.sleep(DRAIN_CHECK_MILLIS)
+        }
+        port.close()
+        events.write(LogEvent.PROCESS_STOPPED, LogField("inFlight", "${inFlight.get()}"))
+    }
+
+    private fun serve(context: Context, response: ServletResponse) {
+        inFlight.incrementAndGet()
+        val arrivedNanos = System.nanoTime()
+        val caller = decodeCallerRequest(context::header)
+        try {
+            val end = answer(context, caller, arrivedNanos, response)
+            requestLog.ended(caller, end, follower.view, arrivedNanos)
+        } catch (e: IOException) {
+            requestLog.abandoned(caller, "request or answer: ${e.javaClass.simpleName}: ${e.message}", arrivedNanos)
+        } finally {
+            inFlight.decrementAndGet()
+        }
+    }
+
+    private fun answer(
+        context: Context,
+        caller: CallerRequest,
+        arrivedNanos: Long,
+        response: ServletResponse,
+    ): CallEnd {
+        val routes = follower.view.routes ?: return refused(Refusal.NO_CONFIGURATION, response)
+        val path = context.req().requestURI
+        return when (val match = routes.match(context.req().getHeader("Host").orEmpty(), path, caller.key)) {
+            is RouteMatch.NoRoute -> {
+                refused(Refusal.NO_ROUTE, response)
+            }
+
+            is RouteMatch.UnknownKey -> {
+                refused(Refusal.UNKNOWN_KEY, response)
+            }
+
+            is RouteMatch.Allowed -> {
+                val body = readBody(context, routes.config.callerLimits.bodyBytes) ?: return refused(Refusal.TOO_LARGE, response)
+                forwarder.forward(callOf(context, caller, match, routes, body, arrivedNanos), response)
+            }
+        }
+    }
+
+    private fun refused(refusal: Refusal, response: ServletResponse): CallEnd {
+        response.refuse(refusal)
+        return CallEnd.Refused(refusal, "")
+    }
+
+    private fun callOf(
+        context: Context,
+        caller: CallerRequest,
+        match: RouteMatch.Allowed,
+        routes: RouteTable,
+        body: ByteArray,
+        arrivedNanos: Long,
+    ): DirectCall {
+        val request = context.req()
+        val limitMillis = minOf(caller.deadlineMillis ?: Long.MAX_VALUE, match.route.timeoutMillis)
+        return DirectCall(
+            method = request.method,
+            target = request.requestURI + request.queryString?.let { "?$it" }.orEmpty(),
+            headers =
+                request.headerNames
+                    .asSequence()
+                    .flatMap { name ->
+                        request.getHeaders(name).asSequence().map { Header(name, it) }
+                    }.toList(),
+            connectionNames = request.getHeader("Connection"),
+            body = body.takeIf { it.isNotEmpty() },
+            caller = caller,
+            route = match.route,
+            service = serviceFor(match.route, Random.nextDouble()),
+            organisation = match.organisation,
+            configVersion = routes.config.version,
+            arrivedNanos = arrivedNanos,
+            deadlineNanos = arrivedNanos + limitMillis * NANOS_PER_MILLI,
+        )
+    }
+
+    /** Reads the body, or returns null if it is longer than [limitBytes]. */
+    private fun readBody(context: Context, limitBytes: Int): ByteArray? {
+        val input = context.req().inputStream
+        val body = input.readNBytes(limitBytes)
+        return body.takeIf { it.size < limitBytes || input.read() < 0 }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -0,0 +1,236 @@
+/*
+ * Forwards a request to a target of its service, again to another where that is allowed, and relays the answer.
+ *
+ * A request that must run at most once goes to a second target only if the first did not run it. What may be repeated
+ * goes on within the retry budget, a broken stream after the last event that the caller has.
+ */
+package io.jaybeam.entry.direct
+
+import io.jaybeam.core.fleet.FleetTarget
+import io.jaybeam.core.fleet.RouteKind
+import io.jaybeam.core.fleet.chooseTarget
+import io.jaybeam.core.routing.RetryBudget
+import io.jaybeam.platform.Header
+import io.jaybeam.platform.isPassedToCaller
+import okhttp3.Response
+import okio.BufferedSource
+import java.io.IOException
+import kotlin.random.Random
+
+/** How a call ended. */
+internal sealed class CallEnd {
+    /** The target's answer was relayed whole. */
+    data class Answered(
+        val status: Int,
+    ) : CallEnd()
+
+    /** The entry answered by itself. */
+    data class Refused(
+        val refusal: Refusal,
+        val detail: String,
+    ) : CallEnd()
+
+    /** The answer broke off after its head was sent. */
+    data class BrokenOff(
+        val detail: String,
+    ) : CallEnd()
+
+    /** The caller closed its connection. */
+    data object CallerGone : CallEnd()
+}
+
+/** One send of a call, for the log. */
+internal data class SendRecord(
+    val target: String,
+    val load: Int,
+    val targetsAgeMillis: Long,
+    val detail: String,
+)
+
+/** Forwards calls. Thread-safe: each call has a [CallRun] of its own. */
+internal class DirectForwarder(
+    private val homeDataCentre: String,
+    private val view: () -> FleetView,
+    private val loads: TargetLoads,
+    private val sender: TargetSender,
+    private val budgetOf: (String) -> RetryBudget,
+    private val retryPercent: Int,
+    private val onSendFailed: (DirectCall, SendRecord) -> Unit,
+    private val onResumed: (DirectCall, SendRecord, Long) -> Unit,
+) {
+    /** Serves [call] and returns how it ended; the answer is complete then. */
+    fun forward(call: DirectCall, response: DirectResponse): CallEnd {
+        val end = CallRun(call, response).run()
+        if (end is CallEnd.Refused) response.refuse(end.refusal)
+        if (end is CallEnd.BrokenOff) response.abort()
+        return end
+    }
+
+    private inner class CallRun(
+        private val call: DirectCall,
+        private val response: DirectResponse,
+    ) {
+        private val tried = mutableSetOf<String>()
+        private val stream = EventStream()
+        private val budget = budgetOf(call.service).also { it.onFirstAttempt(retryPercent) }
+        private var mayHaveRun = false
+        private var lastDetail = ""
+
+        fun run(): CallEnd {
+            while (true) {
+                if (response.isCallerGone) return CallEnd.CallerGone
+                if (call.remainingMillis(System.nanoTime()) <= 0) return giveUp(Refusal.DEADLINE)
+                if (tried.isNotEmpty() && !mayTryAgain()) return giveUp(if (mayHaveRun) Refusal.OUTCOME_UNKNOWN else Refusal.NOT_RUN)
+                val target = nextTarget() ?: return giveUp(if (mayHaveRun) Refusal.OUTCOME_UNKNOWN else Refusal.NO_TARGET)
+                attempt(target)?.let { return it }
+            }
+        }
+
+        private fun mayTryAgain(): Boolean {
+            val isAllowed = tried.size < call.route.maxTargets && (!mayHaveRun || call.route.mayRepeat)
+            return isAllowed && budget.tryRetry()
+        }
+
+        private fun nextTarget(): FleetTarget? {
+            val now = view()
+            val targets = now.targets ?: return null
+            val candidates = targets.usable(call.service, now.dataCentresOut).filter { it.id !in tried }
+            return chooseTarget(candidates.map(loads::of), homeDataCentre, Random.Default)
+        }
+
+        /** Returns how the call ended, or null to try another target. */
+        private fun attempt(target: FleetTarget): CallEnd? {
+            val record = record(target)
+            tried += target.id
+            val resumeAfter = stream.lastEventId
+            if (response.isCommitted) onResumed(call, record, resumeAfter ?: 0)
+            loads.begin(target.id)
+            var failed = true
+            try {
+                val outcome = sender.send(call, target, resumeAfter, response)
+                val end = if (outcome is SendOutcome.Answered) relay(outcome) else null
+                failed = end == null || end is CallEnd.BrokenOff
+                if (end != null) return end
+                return afterFailure(outcome, record)
+            } finally {
+                loads.end(target.id, failed)
+            }
+        }
+
+        private fun afterFailure(outcome: SendOutcome, record: SendRecord): CallEnd? {
+            when (outcome) {
+                is SendOutcome.NotRun -> lastDetail = outcome.detail
+                is SendOutcome.Unknown -> noteMayHaveRun(outcome.detail)
+                is SendOutcome.Unsendable -> return giveUp(Refusal.MALFORMED_TARGET)
+                is SendOutcome.Answered -> Unit
+            }
+            if (!response.isCallerGone) onSendFailed(call, record.copy(detail = lastDetail))
+            return null
+        }
+
+        private fun noteMayHaveRun(detail: String) {
+            mayHaveRun = true
+            lastDetail = detail
+        }
+
+        /** Relays an answer; returns null if it broke off where another target may go on. */
+        private fun relay(outcome: SendOutcome.Answered): CallEnd? =
+            outcome.response.use { received ->
+                try {
+                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK) {
+                        relayStream(received)
+                    } else {
+                        relayBody(received)
+                    }
+                } catch (e: IOException) {
+                    outcome.call.cancel()
+                    noteMayHaveRun("answer broke off: ${e.javaClass.simpleName}: ${e.message}")
+                    null
+                }
+            }
+
+        private fun relayBody(received: Response): CallEnd? {
+            if (response.isCommitted) return CallEnd.BrokenOff("a resumed stream was answered ${received.code}")
+            val source = received.body.source()
+            // A short answer is read whole first, so that one that breaks off can still be asked for again.
+            val isLong = source.request(HELD_BYTES)
+            if (!isLong) return relayWhole(received, source)
+            response.head(received.code, headersOf(received, keepLength = true))
+            return copy(source, received)
+        }
+
+        private fun relayWhole(received: Response, source: BufferedSource): CallEnd {
+            val body = source.readByteArray()
+            return toCaller(received) {
+                response.head(received.code, headersOf(received, keepLength = false) + Header("Content-Length", "${body.size}"))
+                if (body.isNotEmpty()) response.write(body, body.size)
+            }
+        }
+
+        private fun copy(source: BufferedSource, received: Response): CallEnd {
+            val chunk = ByteArray(CHUNK_BYTES)
+            while (true) {
+                val count =
+                    try {
+                        source.read(chunk)
+                    } catch (e: IOException) {
+                        return CallEnd.BrokenOff("answer broke off: ${e.message}")
+                    }
+                if (count < 0) return CallEnd.Answered(received.code)
+                val end = toCaller(received) { response.write(chunk, count) }
+                if (end is CallEnd.CallerGone) return end
+            }
+        }
+
+        /** Passes whole events on; a stream that breaks off throws, and goes on elsewhere if the route allows it. */
+        private fun relayStream(received: Response): CallEnd? {
+            if (!response.isCommitted) {
+                val head = toCaller(received) { response.head(received.code, headersOf(received, keepLength = true)) }
+                if (head is CallEnd.CallerGone) return head
+            }
+            stream.dropPartialEvent()
+            val source = received.body.source()
+            val chunk = ByteArray(CHUNK_BYTES)
+            while (true) {
+                val count = source.read(chunk)
+                if (count < 0) break
+                val events = stream.wholeEvents(chunk, count) ?: continue
+                val end = toCaller(received) { response.write(events, events.size) }
+                if (end is CallEnd.CallerGone) return end
+            }
+            if (stream.hasPartialEvent) throw IOException("the stream ended within an event")
+            return CallEnd.Answered(received.code)
+        }
+
+        /** A failure to write is the caller's, unlike one to read. */
+        private fun toCaller(received: Response, write: () -> Unit): CallEnd =
+            try {
+                write()
+                CallEnd.Answered(received.code)
+            } catch (e: IOException) {
+                CallEnd.CallerGone
+            }
+
+        private fun headersOf(received: Response, keepLength: Boolean): List<Header> {
+            val passed = received.headers.filter { (name, _) -> isPassedToCaller(name) }.map { (name, value) -> Header(name, value) }
+            val length = received.header("Content-Length")?.takeIf { keepLength } ?: return passed
+            return passed + Header("Content-Length", length)
+        }
+
+        private fun giveUp(refusal: Refusal): CallEnd {
+            if (response.isCallerGone) return CallEnd.CallerGone
+            if (response.isCommitted) return CallEnd.BrokenOff("$refusal: $lastDetail")
+            val isUnsent = tried.isEmpty() && refusal == Refusal.DEADLINE
+            return CallEnd.Refused(if (isUnsent) Refusal.NO_TARGET else refusal, lastDetail)
+        }
+
+        private fun record(target: FleetTarget): SendRecord {
+            val ageMillis = (System.nanoTime() - view().targetsReadAtNanos) / NANOS_PER_MILLI
+            return SendRecord(target.id, loads.of(target).requests, ageMillis, "")
+        }
+    }
+}
+
+private const val HTTP_OK = 200
+private const val CHUNK_BYTES = 8_192
+private const val HELD_BYTES = 65_536L
--- a/entry/src/main/kotlin/io/jaybeam/entry/forward/KeyBindingController.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/forward/KeyBindingController.kt
@@ -15,11 +15,11 @@
 import io.jaybeam.entry.calls.badRequest
 import io.jaybeam.entry.calls.noTarget
 import io.jaybeam.entry.calls.outcomeUnknown
-import io.jaybeam.platform.log.LogClient
-import io.jaybeam.platform.log.LogPage
-import io.jaybeam.platform.observe.EventLog
-import io.jaybeam.platform.observe.LogEvent
-import io.jaybeam.platform.observe.LogField
+import io.jaybeam.runtime.log.LogClient
+import io.jaybeam.runtime.log.LogPage
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.observe.LogEvent
+import io.jaybeam.runtime.observe.LogField
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
--- a/entry/src/main/kotlin/io/jaybeam/entry/operator/ConfigPublisher.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/operator/ConfigPublisher.kt
@@ -15,9 +15,9 @@
 import io.jaybeam.core.config.FoldVerdict
 import io.jaybeam.core.config.SignedChange
 import io.jaybeam.core.config.recordJson
-import io.jaybeam.platform.config.CONFIG_STREAM
-import io.jaybeam.platform.config.decodeConfigRecordOrNull
-import io.jaybeam.platform.log.LogClient
+import io.jaybeam.runtime.config.CONFIG_STREAM
+import io.jaybeam.runtime.config.decodeConfigRecordOrNull
+import io.jaybeam.runtime.log.LogClient
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/operator/OperatorCommands.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/operator/OperatorCommands.kt
@@ -11,10 +11,10 @@
 import io.jaybeam.core.config.SignedChange
 import io.jaybeam.core.config.parseBundle
 import io.jaybeam.core.config.recordJson
-import io.jaybeam.platform.http.HttpTimeouts
-import io.jaybeam.platform.http.singleAttemptClient
-import io.jaybeam.platform.log.LogClient
-import io.jaybeam.platform.settings.readSettings
+import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.singleAttemptClient
+import io.jaybeam.runtime.log.LogClient
+import io.jaybeam.runtime.settings.readSettings
 import kotlinx.serialization.SerializationException
 import okhttp3.Request
 import picocli.CommandLine.Command
--- a/entry/src/main/kotlin/io/jaybeam/entry/operator/OperatorSettings.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/operator/OperatorSettings.kt
@@ -8,7 +8,7 @@
 import io.jaybeam.core.config.decodePrivateKeyOrNull
 import io.jaybeam.core.config.decodePublicKeyOrNull
 import io.jaybeam.core.json.JsonShape
-import io.jaybeam.platform.settings.url
+import io.jaybeam.runtime.settings.url
 import java.security.PrivateKey
 import java.security.PublicKey
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/targets/TargetChannel.kt
@@ -6,7 +6,7 @@
 
 import io.jaybeam.core.routing.TargetView
 import io.jaybeam.core.ticket.TargetIncarnation
-import io.jaybeam.platform.instances.ListedInstance
+import io.jaybeam.runtime.instances.ListedInstance
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkHandler
--- a/entry/src/test/kotlin/io/jaybeam/entry/forward/AnswerRelayPropertiesTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/forward/AnswerRelayPropertiesTest.kt
@@ -12,8 +12,8 @@
 import io.jaybeam.entry.calls.Repeatability
 import io.jaybeam.entry.targets.ChannelListener
 import io.jaybeam.entry.targets.TargetChannel
-import io.jaybeam.platform.instances.InstanceRole
-import io.jaybeam.platform.instances.ListedInstance
+import io.jaybeam.runtime.instances.InstanceRole
+import io.jaybeam.runtime.instances.ListedInstance
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.HeaderField
 import io.jaybeam.wire.Link
--- a/entry/src/test/kotlin/io/jaybeam/entry/targets/TargetChannelTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/targets/TargetChannelTest.kt
@@ -1,8 +1,8 @@
 package io.jaybeam.entry.targets
 
 import io.jaybeam.core.ticket.TargetIncarnation
-import io.jaybeam.platform.instances.InstanceRole
-import io.jaybeam.platform.instances.ListedInstance
+import io.jaybeam.runtime.instances.InstanceRole
+import io.jaybeam.runtime.instances.ListedInstance
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 import kotlin.test.Test
--- a/platform/src/main/kotlin/io/jaybeam/platform/DutyThread.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/DutyThread.kt
@@ -1,11 +1,11 @@
 /*
  * One thread for one duty, fed by a bounded queue.
  */
-package io.jaybeam.platform
+package io.jaybeam.runtime
 
-import io.jaybeam.platform.observe.EventLog
-import io.jaybeam.platform.observe.LogEvent
-import io.jaybeam.platform.observe.LogField
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.observe.LogEvent
+import io.jaybeam.runtime.observe.LogField
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
--- a/platform/src/main/kotlin/io/jaybeam/platform/config/ConfigController.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/config/ConfigController.kt
@@ -2,7 +2,7 @@
  * Keeps the configuration in force: one thread tails the log's configuration stream, and peers fill in what
  * the log cannot deliver. The state only moves forward.
  */
-package io.jaybeam.platform.config
+package io.jaybeam.runtime.config
 
 import io.jaybeam.core.config.ChangeVerifier
 import io.jaybeam.core.config.ConfigDelta
@@ -10,11 +10,11 @@
 import io.jaybeam.core.config.ConfigState
 import io.jaybeam.core.config.FoldVerdict
 import io.jaybeam.core.config.recordJson
-import io.jaybeam.platform.log.LogClient
-import io.jaybeam.platform.log.LogPage
-import io.jaybeam.platform.observe.EventLog
-import io.jaybeam.platform.observe.LogEvent
-import io.jaybeam.platform.observe.LogField
+import io.jaybeam.runtime.log.LogClient
+import io.jaybeam.runtime.log.LogPage
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.observe.LogEvent
+import io.jaybeam.runtime.observe.LogField
 import kotlinx.serialization.SerializationException
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
--- a/platform/src/main/kotlin/io/jaybeam/platform/config/ConfigExchange.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/config/ConfigExchange.kt
@@ -1,7 +1,7 @@
 /*
  * Keeps the two ends of a link at the same configuration: whoever learns that it is behind asks.
  */
-package io.jaybeam.platform.config
+package io.jaybeam.runtime.config
 
 import io.jaybeam.core.config.ConfigDelta
 import io.jaybeam.wire.Frame
--- a/platform/src/main/kotlin/io/jaybeam/platform/http/SingleAttemptClient.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/SingleAttemptClient.kt
@@ -2,7 +2,7 @@
  * An OkHttp client that sends each request at most once. OkHttp repeats requests by itself after a failed
  * connection, a redirect, a 408 or a 503 with `Retry-After: 0`; each of these is switched off here.
  */
-package io.jaybeam.platform.http
+package io.jaybeam.runtime.http
 
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
@@ -24,8 +24,8 @@
     val callMillis: Long = 0,
 )
 
-/** Returns a client that sends each request at most once. */
-public fun singleAttemptClient(timeouts: HttpTimeouts): OkHttpClient =
+/** Returns a client that sends each request at most once and keeps up to [maxIdleConnections] open for later ones. */
+public fun singleAttemptClient(timeouts: HttpTimeouts, maxIdleConnections: Int = MAX_IDLE_CONNECTIONS): OkHttpClient =
     OkHttpClient
         .Builder()
         .retryOnConnectionFailure(false)
@@ -33,7 +33,7 @@
         .followSslRedirects(false)
         .addInterceptor(Interceptor { it.proceed(it.request()).renameHeader(HIDDEN_RETRY_AFTER, RETRY_AFTER) })
         .addNetworkInterceptor(Interceptor { it.proceed(it.request()).renameHeader(RETRY_AFTER, HIDDEN_RETRY_AFTER) })
-        .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
+        .connectionPool(ConnectionPool(maxIdleConnections, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
         .dispatcher(
             Dispatcher().apply {
                 maxRequests = MAX_CONCURRENT_CALLS
--- a/platform/src/main/kotlin/io/jaybeam/platform/instances/InstanceListClient.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/instances/InstanceListClient.kt
@@ -1,10 +1,10 @@
 /*
  * Client of the platform's list of live and leaving instances. The list lags.
  */
-package io.jaybeam.platform.instances
+package io.jaybeam.runtime.instances
 
-import io.jaybeam.platform.http.HttpTimeouts
-import io.jaybeam.platform.http.singleAttemptClient
+import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.singleAttemptClient
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
--- a/platform/src/main/kotlin/io/jaybeam/platform/log/LogClient.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/log/LogClient.kt
@@ -1,13 +1,13 @@
 /*
  * Client of the platform's append-only log service.
  */
-package io.jaybeam.platform.log
+package io.jaybeam.runtime.log
 
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import io.jaybeam.platform.http.HttpTimeouts
-import io.jaybeam.platform.http.singleAttemptClient
+import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.singleAttemptClient
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
--- a/platform/src/main/kotlin/io/jaybeam/platform/observe/AdminServer.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/observe/AdminServer.kt
@@ -1,7 +1,7 @@
 /*
  * The operators' HTTP port of a process: /healthz, /readyz, /metrics and /dump.
  */
-package io.jaybeam.platform.observe
+package io.jaybeam.runtime.observe
 
 import io.javalin.Javalin
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
--- a/platform/src/main/kotlin/io/jaybeam/platform/settings/CommonSettings.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/settings/CommonSettings.kt
@@ -1,7 +1,7 @@
 /*
  * Settings that entries and sides share. docs/SETTINGS.md is the reference.
  */
-package io.jaybeam.platform.settings
+package io.jaybeam.runtime.settings
 
 import arrow.core.Either
 import arrow.core.left
--- a/platform/src/main/kotlin/io/jaybeam/platform/settings/ServingProcess.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/settings/ServingProcess.kt
@@ -1,13 +1,13 @@
 /*
  * What both binaries do with a settings file: check it, start the process, stop it on a signal.
  */
-package io.jaybeam.platform.settings
+package io.jaybeam.runtime.settings
 
-import io.jaybeam.core.json.JsonFault
+import arrow.core.Either
 import io.jaybeam.core.json.JsonShape
-import io.jaybeam.platform.observe.EventLog
-import io.jaybeam.platform.observe.LogEvent
-import io.jaybeam.platform.observe.LogField
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.observe.LogEvent
+import io.jaybeam.runtime.observe.LogField
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 import kotlin.time.Clock
@@ -37,17 +37,20 @@
     checkOnly: Boolean,
     read: JsonShape.() -> S,
     make: (S) -> ServingProcess,
-): Int {
+): Int = runWith(readSettings(path, read), checkOnly, make)
+
+/** Serves with [settings], which are faults where they could not be read; see [runProcess]. */
+public fun <S, F : Any> runWith(settings: Either<List<F>, S>, checkOnly: Boolean, make: (S) -> ServingProcess): Int {
     val termination = Termination().also { it.install() }
-    return readSettings(path, read).fold(
-        { faults -> refuse(path, faults) },
-        { settings -> if (checkOnly) 0 else serve(termination, make(settings)) },
-    )
+    return settings.fold(::refuse) { if (checkOnly) 0 else serve(termination, make(it)) }
 }
 
-private fun refuse(path: Path, faults: List<JsonFault>): Int {
+/** Says that no settings were named; returns the exit code. */
+public fun missingSettings(): Int = refuse(listOf("--settings: is missing; name a JSON settings file or give --on-platform"))
+
+private fun refuse(faults: List<Any>): Int {
     val events = EventLog("unnamed", Clock.System)
-    faults.forEach { events.write(LogEvent.SETTINGS_REFUSED, LogField("file", "$path"), LogField("fault", "$it")) }
+    faults.forEach { events.write(LogEvent.SETTINGS_REFUSED, LogField("fault", "$it")) }
     return EXIT_BAD_SETTINGS
 }
 
--- a/platform/src/main/kotlin/io/jaybeam/platform/settings/Termination.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/settings/Termination.kt
@@ -1,7 +1,7 @@
 /*
  * Graceful shutdown on SIGTERM and SIGINT with exit code 0.
  */
-package io.jaybeam.platform.settings
+package io.jaybeam.runtime.settings
 
 import sun.misc.Signal
 import java.util.concurrent.CompletableFuture
--- a/platform/src/test/kotlin/io/jaybeam/platform/LogEventCatalogueTest.kt
+++ b/runtime/src/test/kotlin/io/jaybeam/runtime/LogEventCatalogueTest.kt
@@ -1,6 +1,6 @@
-package io.jaybeam.platform
+package io.jaybeam.runtime
 
-import io.jaybeam.platform.observe.LogEvent
+import io.jaybeam.runtime.observe.LogEvent
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.test.Test
--- a/platform/src/test/kotlin/io/jaybeam/platform/SettingsTest.kt
+++ b/runtime/src/test/kotlin/io/jaybeam/runtime/SettingsTest.kt
@@ -1,7 +1,7 @@
-package io.jaybeam.platform
+package io.jaybeam.runtime
 
 import io.jaybeam.core.json.readJson
-import io.jaybeam.platform.settings.commonSettings
+import io.jaybeam.runtime.settings.commonSettings
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Caller.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Caller.kt
@@ -3,8 +3,8 @@
  */
 package io.jaybeam.scenarios
 
-import io.jaybeam.platform.http.HttpTimeouts
-import io.jaybeam.platform.http.singleAttemptClient
+import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.singleAttemptClient
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
 import okhttp3.Request
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
@@ -9,10 +9,10 @@
 import io.jaybeam.core.config.ConfigRecord
 import io.jaybeam.core.config.NO_VERSION
 import io.jaybeam.core.config.recordJson
-import io.jaybeam.platform.config.CONFIG_STREAM
-import io.jaybeam.platform.http.HttpTimeouts
-import io.jaybeam.platform.http.singleAttemptClient
-import io.jaybeam.platform.log.LogClient
+import io.jaybeam.runtime.config.CONFIG_STREAM
+import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.singleAttemptClient
+import io.jaybeam.runtime.log.LogClient
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetState.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/FleetState.kt
@@ -7,9 +7,9 @@
 import io.jaybeam.core.config.ConfigItem
 import io.jaybeam.core.config.ConfigItemKind
 import io.jaybeam.core.config.ConfigState
-import io.jaybeam.platform.config.CONFIG_STREAM
-import io.jaybeam.platform.config.decodeConfigRecordOrNull
-import io.jaybeam.platform.log.LogClient
+import io.jaybeam.runtime.config.CONFIG_STREAM
+import io.jaybeam.runtime.config.decodeConfigRecordOrNull
+import io.jaybeam.runtime.log.LogClient
 
 /** Returns the version of [item] according to the log. */
 public fun Fleet.itemVersion(item: ConfigItem): Long {
--- a/side/src/main/kotlin/io/jaybeam/side/MapController.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/MapController.kt
@@ -15,10 +15,10 @@
 import io.jaybeam.core.rankgroup.RankView
 import io.jaybeam.core.rankgroup.nextMapRound
 import io.jaybeam.core.ticket.TargetIncarnation
-import io.jaybeam.platform.log.LogClient
-import io.jaybeam.platform.observe.EventLog
-import io.jaybeam.platform.observe.LogEvent
-import io.jaybeam.platform.observe.LogField
+import io.jaybeam.runtime.log.LogClient
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.observe.LogEvent
+import io.jaybeam.runtime.observe.LogField
 import kotlinx.serialization.json.Json
 import kotlin.concurrent.thread
 
--- a/side/src/main/kotlin/io/jaybeam/side/RankGroupClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/RankGroupClient.kt
@@ -4,8 +4,8 @@
 package io.jaybeam.side
 
 import io.jaybeam.core.rankgroup.RankOrder
-import io.jaybeam.platform.http.HttpTimeouts
-import io.jaybeam.platform.http.singleAttemptClient
+import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.singleAttemptClient
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
--- a/side/src/main/kotlin/io/jaybeam/side/SideSettings.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/SideSettings.kt
@@ -5,10 +5,10 @@
 
 import io.jaybeam.core.config.ServiceKind
 import io.jaybeam.core.json.JsonShape
-import io.jaybeam.platform.settings.CommonSettings
-import io.jaybeam.platform.settings.MAX_PORT
-import io.jaybeam.platform.settings.commonSettings
-import io.jaybeam.platform.settings.url
+import io.jaybeam.runtime.settings.CommonSettings
+import io.jaybeam.runtime.settings.MAX_PORT
+import io.jaybeam.runtime.settings.commonSettings
+import io.jaybeam.runtime.settings.url
 
 /** The target beside which a side process runs. */
 internal data class TargetSettings(
--- a/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
@@ -3,8 +3,8 @@
  */
 package io.jaybeam.side
 
-import io.jaybeam.platform.http.HttpTimeouts
-import io.jaybeam.platform.http.singleAttemptClient
+import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.singleAttemptClient
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.HeaderField
 import kotlinx.serialization.Serializable
--- a/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/WorkController.kt
@@ -17,10 +17,10 @@
 import io.jaybeam.core.ticket.RefusalReason
 import io.jaybeam.core.ticket.RequestLedger
 import io.jaybeam.core.ticket.TargetIncarnation
-import io.jaybeam.platform.DutyThread
-import io.jaybeam.platform.observe.EventLog
-import io.jaybeam.platform.observe.LogEvent
-import io.jaybeam.platform.observe.LogField
+import io.jaybeam.runtime.DutyThread
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.observe.LogEvent
+import io.jaybeam.runtime.observe.LogField
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 import java.util.concurrent.ExecutorService
--- /dev/null
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
@@ -0,0 +1,289 @@
+/*
+ * Coordinates the expert map of a rank group: gathers the ranks' reports, plans a better map when demand has moved, and
+ * takes the group to it. It works only during its term, under fencing tokens of that term.
+ */
+package io.jaybeam.side.rank
+
+import io.jaybeam.core.fleet.EngineModel
+import io.jaybeam.core.fleet.FleetStore
+import io.jaybeam.core.fleet.InstanceSettings
+import io.jaybeam.core.fleet.OperatorNotice
+import io.jaybeam.core.placement.GroupDemand
+import io.jaybeam.core.placement.GroupMap
+import io.jaybeam.core.placement.GroupPlacementPolicy
+import io.jaybeam.core.placement.GroupPlan
+import io.jaybeam.core.placement.mapOfRanks
+import io.jaybeam.core.placement.planGroupPlacement
+import io.jaybeam.core.rankgroup.ArmedMapChange
+import io.jaybeam.core.rankgroup.FencedOrder
+import io.jaybeam.core.rankgroup.MapPhase
+import io.jaybeam.core.rankgroup.OrderReply
+import io.jaybeam.runtime.DutyThread
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.observe.LogEvent
+import io.jaybeam.runtime.observe.LogField
+import io.jaybeam.wire.Frame
+import io.jaybeam.wire.HEARTBEAT_MILLIS
+import io.jaybeam.wire.Link
+import io.jaybeam.wire.LinkHandler
+
+// Room for some seconds of reports of a group of 64 ranks.
+private const val QUEUED_MESSAGES = 1_024
+private const val TICK_MILLIS = 20L
+
+// Demand is counted over this time: one report of each rank is too noisy, and more mixes old demand with new.
+private const val WINDOW_MILLIS = 1_000L
+
+// An order that was not answered is given again after this time.
+private const val REPEAT_MILLIS = 500L
+
+// Tokens of one term; a term makes a few for each change.
+private const val FENCE_BITS = 20
+private const val TARGET_SKEW = 1.02
+private const val MIN_GAIN_PERCENT = 5.0
+
+/** What the coordinator is told. */
+internal sealed class CoordinatorMessage {
+    /** This process's term; null while another process coordinates. */
+    data class Term(
+        val generation: Long?,
+    ) : CoordinatorMessage()
+
+    /** A rank's side reports over [link]. */
+    data class Report(
+        val link: Link,
+        val frame: Frame.RankReport,
+    ) : CoordinatorMessage()
+
+    /** A rank answered an order. */
+    data class Reply(
+        val frame: Frame.RankReply,
+    ) : CoordinatorMessage()
+
+    /** The planner has finished; [plan] is null where nothing is worth a change. */
+    data class Planned(
+        val plan: GroupPlan?,
+        val tookMillis: Long,
+    ) : CoordinatorMessage()
+}
+
+private class PlanRequest(
+    val map: GroupMap,
+    val demand: GroupDemand,
+    val policy: GroupPlacementPolicy,
+)
+
+private class RankPeer(
+    val link: Link,
+    val experts: List<List<Int>>?,
+)
+
+/** Coordinates a group, on a thread of its own and one for planning. */
+internal class MapCoordinator(
+    private val store: FleetStore,
+    private val settings: InstanceSettings,
+    private val ownRank: () -> Int?,
+    private val events: EventLog,
+    private val nowMillis: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
+) : AutoCloseable {
+    private val duty = DutyThread("coordinator", QUEUED_MESSAGES, TICK_MILLIS, events, ::onMessage, ::onTick)
+    private val planner = DutyThread<PlanRequest>("planner", 1, PLANNER_TICK_MILLIS, events, ::plan) {}
+    private val window = DemandWindow(WINDOW_MILLIS)
+    private val peers = HashMap<Int, RankPeer>()
+    private val sentAtMillis = HashMap<FencedOrder, Long>()
+    private var generation: Long? = null
+    private var deposedGeneration = 0L
+    private var change: ArmedMapChange? = null
+    private var engine: EngineModel? = null
+    private var proposed: GroupMap? = null
+    private var isPlanning = false
+    private var loggedPhase: String = ""
+    private var heartbeatAtMillis = 0L
+    private var plannedAtMillis = 0L
+
+    fun start() {
+        duty.start()
+        planner.start()
+    }
+
+    /** Tells the coordinator something; drops it if the coordinator is too busy, since reports are repeated. */
+    fun tell(message: CoordinatorMessage): Boolean = duty.offer(message)
+
+    override fun close() {
+        planner.close()
+        duty.close()
+    }
+
+    /** Returns the handler of a link that a rank's side has opened. */
+    fun handlerOfLink(): LinkHandler =
+        object : LinkHandler {
+            override fun onFrame(link: Link, frame: Frame) {
+                when (frame) {
+                    is Frame.RankReport -> tell(CoordinatorMessage.Report(link, frame))
+                    is Frame.RankReply -> tell(CoordinatorMessage.Reply(frame))
+                    is Frame.Heartbeat -> Unit
+                    else -> link.close("a coordinator does not take frames of kind ${frame::class.simpleName}")
+                }
+            }
+
+            override fun onClosed(link: Link, reason: String) {
+                events.write(LogEvent.LINK_CLOSED, LogField("peer", "rank"), LogField("reason", reason))
+            }
+        }
+
+    private fun onMessage(message: CoordinatorMessage) {
+        when (message) {
+            is CoordinatorMessage.Term -> onTerm(message.generation)
+            is CoordinatorMessage.Report -> onReport(message)
+            is CoordinatorMessage.Reply -> onReply(message.frame)
+            is CoordinatorMessage.Planned -> onPlanned(message)
+        }
+    }
+
+    private fun onTerm(next: Long?) {
+        generation = next
+        if (next == null) {
+            change = null
+            // Sides look for the new coordinator when the link to this one is gone.
+            peers.values.forEach { it.link.close("another process coordinates the group") }
+            peers.clear()
+        }
+    }
+
+    private fun onReport(message: CoordinatorMessage.Report) {
+        val report = message.frame
+        if (generation == null) return message.link.close("another process coordinates the group")
+        val rank = report.reading.rank
+        val known = peers[rank]
+        val isSameMap = change?.known?.get(rank)?.mapVersion == report.reading.mapVersion
+        peers[rank] = RankPeer(message.link, report.experts ?: known?.experts?.takeIf { known.link === message.link && isSameMap })
+        if (change == null) begin(report)
+        change?.onReading(report.reading)
+        window.add(report.demand, nowMillis())
+        act()
+    }
+
+    private fun begin(report: Frame.RankReport) {
+        val term = generation?.takeIf { it > deposedGeneration } ?: return
+        // Orders reach the own rank soonest, so that is where passes are held.
+        val holder = ownRank() ?: return
+        change = ArmedMapChange(report.groupSize, holder, term shl FENCE_BITS)
+        engine = readEngine()
+        window.clear()
+    }
+
+    private fun readEngine(): EngineModel? =
+        store.newestOperator().fold(
+            { fault ->
+                events.write(LogEvent.STORE_LOST, LogField("follower", "coordinator"), LogField("detail", fault.detail))
+                null
+            },
+            { page ->
+                val config =
+                    page.notices
+                        .filterIsInstance<OperatorNotice.Published>()
+                        .maxByOrNull { it.config.version }
+                        ?.config
+                config?.services?.firstOrNull { it.name == settings.targetService }?.engine
+            },
+        )
+
+    private fun onReply(frame: Frame.RankReply) {
+        sentAtMillis.remove(frame.order)
+        val now = change ?: return
+        now.onReply(OrderReply(frame.order, frame.outcome, frame.reading))
+        act()
+    }
+
+    private fun onPlanned(message: CoordinatorMessage.Planned) {
+        isPlanning = false
+        val now = change ?: return
+        val plan = message.plan ?: return
+        if (!now.isSettled) return
+        events.write(
+            LogEvent.MAP_PLANNED,
+            LogField("skewBefore", "%.3f".format(plan.skewBefore)),
+            LogField("skewAfter", "%.3f".format(plan.skewAfter)),
+            LogField("expertsLoaded", "${plan.expertsLoaded}"),
+            LogField("tookMillis", "${message.tookMillis}"),
+        )
+        proposed = plan.map
+        now.propose(now.fence + 1, nowMillis())
+        act()
+    }
+
+    private fun onTick() {
+        val now = nowMillis()
+        if (generation != null && now - heartbeatAtMillis >= HEARTBEAT_MILLIS) {
+            heartbeatAtMillis = now
+            peers.values.forEach { it.link.send(Frame.Heartbeat(0)) }
+        }
+        act()
+    }
+
+    /** Gives the orders that are due and asks for a plan where the group is settled. */
+    private fun act() {
+        val now = change ?: return
+        now.ordersDue(nowMillis()).forEach(::send)
+        logPhase(now)
+        if (now.phase is MapPhase.Deposed) {
+            deposedGeneration = generation ?: 0
+            change = null
+        } else if (now.isSettled && !isPlanning) {
+            askForPlan(now)
+        }
+    }
+
+    private fun send(order: FencedOrder) {
+        val sent = sentAtMillis[order]
+        if (sent != null && nowMillis() - sent < REPEAT_MILLIS) return
+        sentAtMillis[order] = nowMillis()
+        peers[order.rank]?.link?.send(Frame.RankOrder(order, proposed.takeIf { order is FencedOrder.Prepare }))
+    }
+
+    private fun askForPlan(now: ArmedMapChange) {
+        val model = engine ?: return
+        val experts =
+            now.known.keys
+                .sorted()
+                .map { peers[it]?.experts ?: return }
+        val demand = window.demand(model.expertSets, nowMillis()) ?: return
+        if (nowMillis() - plannedAtMillis < PLAN_EVERY_MILLIS) return
+        plannedAtMillis = nowMillis()
+        sentAtMillis.clear()
+        val policy = GroupPlacementPolicy(model.newExpertsPerChange, MIN_GAIN_PERCENT, TARGET_SKEW)
+        isPlanning = planner.offer(PlanRequest(mapOfRanks(experts, model.slotsPerRank), demand, policy))
+    }
+
+    private fun plan(request: PlanRequest) {
+        val begun = nowMillis()
+        val plan = planGroupPlacement(request.map, request.demand, request.policy)
+        tell(CoordinatorMessage.Planned(plan, nowMillis() - begun))
+    }
+
+    private fun logPhase(now: ArmedMapChange) {
+        val name = now.phase::class.simpleName.orEmpty()
+        if (name == loggedPhase) return
+        loggedPhase = name
+        val lastPass = now.known.values.maxOfOrNull { it.lastPass }
+        val map =
+            now.known.values
+                .map { it.mapVersion }
+                .distinct()
+                .joinToString("/")
+        events.write(
+            LogEvent.MAP_PHASE,
+            LogField("phase", "${now.phase}"),
+            LogField("fence", "${now.fence}"),
+            LogField("lastPass", "$lastPass"),
+            LogField("map", map),
+        )
+    }
+
+    private companion object {
+        const val PLANNER_TICK_MILLIS = 1_000L
+
+        // Plans are cheap beside the second in which demand moves.
+        const val PLAN_EVERY_MILLIS = 300L
+    }
+}
--- a/side/src/test/kotlin/io/jaybeam/side/WorkControllerTest.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/WorkControllerTest.kt
@@ -3,9 +3,9 @@
 import io.jaybeam.core.config.ConfigState
 import io.jaybeam.core.config.ServiceKind
 import io.jaybeam.core.ticket.TargetIncarnation
-import io.jaybeam.platform.observe.EventLog
-import io.jaybeam.platform.settings.CommonSettings
-import io.jaybeam.platform.settings.PlatformSettings
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.settings.CommonSettings
+import io.jaybeam.runtime.settings.PlatformSettings
 import io.jaybeam.wire.Frame
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
--- a/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
@@ -6,6 +6,10 @@
 package io.jaybeam.wire
 
 import io.jaybeam.core.config.AcceptedChange
+import io.jaybeam.core.placement.GroupMap
+import io.jaybeam.core.rankgroup.FencedOrder
+import io.jaybeam.core.rankgroup.OrderOutcome
+import io.jaybeam.core.rankgroup.RankReading
 import io.jaybeam.core.ticket.LedgerProblem
 import io.jaybeam.core.ticket.RefusalReason
 import io.jaybeam.core.ticket.TargetIncarnation
@@ -16,7 +20,7 @@
 import kotlinx.serialization.cbor.CborLabel
 
 /** Version of this protocol; peers of another version are refused. */
-public const val PROTOCOL_VERSION: Int = 2
+public const val PROTOCOL_VERSION: Int = 3
 
 /** One HTTP header. */
 @Serializable
@@ -25,7 +29,7 @@
     val value: String,
 )
 
-/** A message between an entry and a side. */
+/** A message between two processes of a fleet. */
 @Serializable
 public sealed class Frame {
     /** First frame of both ends. */
@@ -181,4 +185,36 @@
         @CborLabel(1) val crashId: String,
         @CborLabel(2) val fingerprints: List<String>,
     ) : Frame()
+
+    /**
+     * State of a rank and the demand that it saw since its last report.
+     *
+     * [demand] counts choices of each expert, all sets one after the other; empty where it was not read. [experts] are
+     * those of the map in use, by set; null unless the map changed or the coordinator is new.
+     */
+    @Serializable
+    @SerialName("rr")
+    public data class RankReport(
+        @CborLabel(1) val reading: RankReading,
+        @CborLabel(2) val groupSize: Int,
+        @CborLabel(3) val demand: List<Int>,
+        @CborLabel(4) val experts: List<List<Int>>?,
+    ) : Frame()
+
+    /** Asks the side to give [order] to its rank; [map] goes with an order that prepares it. */
+    @Serializable
+    @SerialName("ro")
+    public data class RankOrder(
+        @CborLabel(1) val order: FencedOrder,
+        @CborLabel(2) val map: GroupMap?,
+    ) : Frame()
+
+    /** What became of an order, and the rank's state after it. */
+    @Serializable
+    @SerialName("ra")
+    public data class RankReply(
+        @CborLabel(1) val order: FencedOrder,
+        @CborLabel(2) val outcome: OrderOutcome,
+        @CborLabel(3) val reading: RankReading?,
+    ) : Frame()
 }
