--- a/core/src/main/kotlin/io/jaybeam/core/fleet/FleetConfig.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/FleetConfig.kt
@@ -4,11 +4,14 @@
  */
 package io.jaybeam.core.fleet
 
+import kotlinx.serialization.Serializable
+
 /**
  * One version of the configuration, whole.
  *
  * @property version rises with each change, in uneven steps.
  */
+@Serializable
 public data class FleetConfig(
     val version: Long,
     val routes: List<Route>,
@@ -18,6 +21,7 @@
 )
 
 /** How often a request may run. */
+@Serializable
 public enum class RouteKind {
     /** Any number of times, on any target. */
     IDEMPOTENT,
@@ -30,6 +34,7 @@
 }
 
 /** A service and its share of a route's requests. */
+@Serializable
 public data class WeightedService(
     val service: String,
     val weight: Int,
@@ -47,6 +52,7 @@
  * @property isResumable a stream that broke off may go on at another target.
  * @property maxEventGapMillis longest pause between events of a stream that is on time; 0 where none is stated.
  */
+@Serializable
 public data class Route(
     val name: String,
     val host: String,
@@ -77,6 +83,7 @@
  * @property coldRequestsPerSecond requests that a cold target bears, from all instances together; 0 is no limit.
  * @property engine null for a plain service.
  */
+@Serializable
 public data class ServicePolicy(
     val name: String,
     val healthPath: String,
@@ -99,6 +106,7 @@
  * @property expertMegabytes bytes of one expert's weights, in megabytes.
  * @property expertShare share of a step's time per request that goes to experts, 0 to 1.
  */
+@Serializable
 public data class EngineModel(
     val batchSlots: Int,
     val stepsPerPass: Int,
@@ -113,12 +121,14 @@
 )
 
 /** A customer of the operator and the keys that name it. */
+@Serializable
 public data class Organisation(
     val name: String,
     val keys: Set<String>,
 )
 
 /** What one caller may send; sizes in bytes, times in milliseconds. */
+@Serializable
 public data class CallerLimits(
     val headerBytes: Int,
     val bodyBytes: Int,
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
@@ -3,6 +3,8 @@
  */
 package io.jaybeam.core.fleet
 
+import kotlinx.serialization.Serializable
+
 /**
  * What a target says of itself.
  *
@@ -11,6 +13,7 @@
  * @property coldMillis how much longer it is cold, as of this announcement.
  * @property batchSlots requests that it serves at once.
  */
+@Serializable
 public data class FleetTarget(
     val id: String,
     val service: String,
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/InstanceSettings.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/InstanceSettings.kt
@@ -3,7 +3,10 @@
  */
 package io.jaybeam.core.fleet
 
+import kotlinx.serialization.Serializable
+
 /** Address of a TCP port, by IP number. */
+@Serializable
 public data class HostPort(
     val host: String,
     val port: Int,
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -39,7 +39,9 @@
     clock: Clock,
 ) : ServingProcess {
     private val events = EventLog(settings.instance, clock)
-    private val follower = FleetFollower(store, events)
+    private val knowledge = FleetKnowledge(events)
+    private val follower = FleetFollower(store, knowledge, events)
+    private val peers = PeerExchange(settings.instance, settings.peers, settings.seeds, store, knowledge, events)
     private val loads = TargetLoads()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
     private val requestLog = RequestLog(events)
@@ -51,7 +53,7 @@
     private val forwarder =
         DirectForwarder(
             homeDataCentre = settings.dataCentre,
-            view = { follower.view },
+            view = { knowledge.view },
             loads = loads,
             sender = TargetSender(),
             budgetOf = { service -> budgets.computeIfAbsent(service) { RetryBudget(settings.bounds.retrySlack / ENTRIES_SHARING_SLACK) } },
@@ -64,13 +66,14 @@
             callers = settings.callers ?: HostPort(settings.host, 0),
             readiness = settings.readiness,
             serve = ::serve,
-            isReady = { !isStopping && follower.view.isComplete },
+            isReady = { !isStopping && knowledge.view.isComplete },
             isStopping = { isStopping },
         )
 
     override fun start() {
         events.write(LogEvent.PROCESS_STARTED, LogField("dataCentre", settings.dataCentre))
         port.start()
+        peers.start()
         follower.start()
         events.write(LogEvent.PROCESS_READY, LogField("callers", "${settings.callers}"))
     }
@@ -87,6 +90,7 @@
             Thread.sleep(DRAIN_CHECK_MILLIS)
         }
         port.close()
+        peers.close()
         events.write(LogEvent.PROCESS_STOPPED, LogField("inFlight", "${inFlight.get()}"))
     }
 
@@ -96,7 +100,7 @@
         val caller = decodeCallerRequest(context::header)
         try {
             val end = answer(context, caller, arrivedNanos, response)
-            requestLog.ended(caller, end, follower.view, arrivedNanos)
+            requestLog.ended(caller, end, knowledge.view, arrivedNanos)
         } catch (e: IOException) {
             requestLog.abandoned(caller, "request or answer: ${e.javaClass.simpleName}: ${e.message}", arrivedNanos)
         } finally {
@@ -110,7 +114,7 @@
         arrivedNanos: Long,
         response: ServletResponse,
     ): CallEnd {
-        val routes = follower.view.routes ?: return refused(Refusal.NO_CONFIGURATION, response)
+        val routes = knowledge.view.routes ?: return refused(Refusal.NO_CONFIGURATION, response)
         val path = context.req().requestURI
         return when (val match = routes.match(context.req().getHeader("Host").orEmpty(), path, caller.key)) {
             is RouteMatch.NoRoute -> {
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -103,8 +103,7 @@
 
         private fun nextTarget(): FleetTarget? {
             val now = view()
-            val targets = now.targets ?: return null
-            val candidates = targets.usable(call.service, now.dataCentresOut).filter { it.id !in tried }
+            val candidates = now.targets.usable(call.service, now.dataCentresOut).filter { it.id !in tried }
             return chooseTarget(candidates.map(loads::of), homeDataCentre, Random.Default)
         }
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetFollower.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetFollower.kt
@@ -1,121 +1,85 @@
 /*
- * Follows the operator's records and the targets' notices in the platform's store, a thread for each, and publishes the
- * result as a [FleetView]. A version of the configuration below one that has been in force is never taken.
+ * Follows the operator's records and the targets' notices in the platform's store, a thread for each. Entries tell one
+ * another what they read, so an entry reads the targets itself only when no other has done so for a while.
  */
 package io.jaybeam.entry.direct
 
 import arrow.core.Either
 import io.jaybeam.core.fleet.FleetStore
-import io.jaybeam.core.fleet.LogPage
-import io.jaybeam.core.fleet.OperatorNotice
-import io.jaybeam.core.fleet.RouteTable
 import io.jaybeam.core.fleet.StoreFault
-import io.jaybeam.core.fleet.TargetNotice
-import io.jaybeam.core.fleet.TargetTable
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
-import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
+import kotlin.random.Random
 
 // A leaving target is known well within the two seconds that it goes on serving.
-private const val TARGETS_EVERY_MILLIS = 700L
+private const val TARGETS_EVERY_MILLIS = 600L
+
+// Spreads the entries, so that mostly one of them reads.
+private const val TARGETS_SPREAD_MILLIS = 200L
+private const val TARGETS_CHECK_MILLIS = 50L
 
 // A read that waits costs one call however long it waits; a silent connection is noticed after this time.
 private const val OPERATOR_WAIT_MILLIS = 5_000L
 private const val RETRY_MILLIS = 250L
 
-/** Keeps a [FleetView] up to date. */
+/** Keeps [knowledge] up to date from [store]. */
 internal class FleetFollower(
     private val store: FleetStore,
+    private val knowledge: FleetKnowledge,
     private val events: EventLog,
 ) {
-    private val current = AtomicReference(FleetView())
+    fun start() {
+        thread(name = "follow-operator", isDaemon = true) { Duty("operator", ::readOperator).run() }
+        thread(name = "follow-targets", isDaemon = true) { Duty("targets", ::readTargets).run() }
+    }
 
-    /** What is known now. */
-    val view: FleetView get() = current.get()
+    private fun readOperator(mustReadAll: Boolean): Either<StoreFault, Unit> {
+        val from = if (mustReadAll) UNREAD else knowledge.view.operatorPosition
+        val page = if (from == UNREAD) store.newestOperator() else store.operatorFrom(from, OPERATOR_WAIT_MILLIS)
+        return page.map { knowledge.onOperatorPage(from, it) }
+    }
 
-    fun start() {
-        thread(name = "follow-operator", isDaemon = true) {
-            follow("operator", { store.newestOperator() }, { store.operatorFrom(it, OPERATOR_WAIT_MILLIS) }, 0, ::onOperator)
-        }
-        thread(name = "follow-targets", isDaemon = true) {
-            follow("targets", { store.newestTargets() }, { store.targetsFrom(it) }, TARGETS_EVERY_MILLIS, ::onTargets)
+    private fun readTargets(mustReadAll: Boolean): Either<StoreFault, Unit> {
+        awaitTargetsDue()
+        val from = if (mustReadAll) UNREAD else knowledge.view.targetsPosition
+        val page = if (from == UNREAD) store.newestTargets() else store.targetsFrom(from)
+        return page.map { knowledge.onTargetsPage(from, it) }
+    }
+
+    private fun awaitTargetsDue() {
+        val dueMillis = TARGETS_EVERY_MILLIS + Random.nextLong(TARGETS_SPREAD_MILLIS)
+        while (knowledge.view.targetsPosition != UNREAD) {
+            val ageMillis = (System.nanoTime() - knowledge.view.targetsReadAtNanos) / NANOS_PER_MILLI
+            if (ageMillis >= dueMillis) return
+            Thread.sleep(minOf(TARGETS_CHECK_MILLIS, dueMillis - ageMillis))
         }
     }
 
-    private fun <T> follow(
-        name: String,
-        newest: () -> Either<StoreFault, LogPage<T>>,
-        from: (Long) -> Either<StoreFault, LogPage<T>>,
-        pauseMillis: Long,
-        onPage: (LogPage<T>, isWhole: Boolean) -> Unit,
+    /** Reads for ever; logs when the store is lost and regained. */
+    private inner class Duty(
+        private val name: String,
+        private val read: (mustReadAll: Boolean) -> Either<StoreFault, Unit>,
     ) {
-        var position: Long? = null
-        var isLost = false
-        while (true) {
-            val at = position
-            val answer = if (at == null) newest() else from(at)
-            answer.fold(
-                { fault ->
-                    if (fault is StoreFault.Expired) position = null
-                    if (!isLost) events.write(LogEvent.STORE_LOST, LogField("follower", name), LogField("detail", fault.detail))
-                    isLost = fault !is StoreFault.Expired
-                },
-                { page ->
-                    if (isLost) events.write(LogEvent.STORE_REGAINED, LogField("follower", name), LogField("position", "${page.position}"))
-                    isLost = false
-                    position = page.position
-                    page.unusable.forEach { events.write(LogEvent.RECORD_UNUSABLE, LogField("detail", it)) }
-                    onPage(page, at == null)
-                },
-            )
-            Thread.sleep(if (answer.isLeft()) RETRY_MILLIS else pauseMillis)
+        private var isLost = false
+        private var mustReadAll = false
+
+        fun run() {
+            while (true) read(mustReadAll).fold(::failed) { succeeded() }
         }
-    }
 
-    private fun onOperator(page: LogPage<OperatorNotice>, isWhole: Boolean) {
-        val now = System.nanoTime()
-        val newest = page.notices.filterIsInstance<OperatorNotice.Published>().maxByOrNull { it.config.version }
-        val before = current.get()
-        val known = before.routes
-        if (newest != null && newest.config.version > (known?.config?.version ?: -1)) {
-            val table = RouteTable(newest.config)
-            current.updateAndGet { it.copy(routes = table) }
-            events.write(
-                LogEvent.CONFIG_IN_FORCE,
-                LogField("version", "${newest.config.version}"),
-                LogField("routes", "${newest.config.routes.size}"),
-            )
+        private fun failed(fault: StoreFault) {
+            mustReadAll = mustReadAll || fault is StoreFault.Expired
+            if (!isLost) events.write(LogEvent.STORE_LOST, LogField("follower", name), LogField("detail", fault.detail))
+            isLost = true
+            Thread.sleep(RETRY_MILLIS)
         }
-        val out = dataCentresOut(if (isWhole) emptySet() else before.dataCentresOut, page.notices)
-        if (out != before.dataCentresOut) events.write(LogEvent.DATA_CENTRE_CHANGED, LogField("out", out.sorted().joinToString(",")))
-        current.updateAndGet { it.copy(dataCentresOut = out, routesReadAtNanos = now) }
-    }
 
-    private fun onTargets(page: LogPage<TargetNotice>, isWhole: Boolean) {
-        val now = System.nanoTime()
-        val before = current.get().targets ?: TargetTable()
-        val after = (if (isWhole) TargetTable() else before).after(page.notices)
-        current.updateAndGet { it.copy(targets = after, targetsReadAtNanos = now) }
-        val usableBefore =
-            before.byId.values
-                .filterNot { it.isLeaving }
-                .map { it.id }
-                .toSet()
-        val usableAfter =
-            after.byId.values
-                .filterNot { it.isLeaving }
-                .map { it.id }
-                .toSet()
-        if (usableBefore == usableAfter) return
-        val added = LogField("added", (usableAfter - usableBefore).joinToString(","))
-        val removed = LogField("removed", (usableBefore - usableAfter).joinToString(","))
-        events.write(LogEvent.TARGETS_CHANGED, added, removed, LogField("position", "${page.position}"))
+        private fun succeeded() {
+            if (isLost) events.write(LogEvent.STORE_REGAINED, LogField("follower", name))
+            isLost = false
+            mustReadAll = false
+        }
     }
 }
-
-private fun dataCentresOut(before: Set<String>, notices: List<OperatorNotice>): Set<String> =
-    notices.filterIsInstance<OperatorNotice.DataCentreOut>().fold(before) { out, notice ->
-        if (notice.isOut) out + notice.dataCentre else out - notice.dataCentre
-    }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetView.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetView.kt
@@ -6,21 +6,30 @@
 import io.jaybeam.core.fleet.RouteTable
 import io.jaybeam.core.fleet.TargetTable
 
+/** Position of a log that has not been read. */
+internal const val UNREAD = -1L
+
 /**
  * Knowledge of an entry at one moment.
  *
  * @property routes null until a configuration is known.
- * @property targets null until the targets have been read once.
  * @property dataCentresOut data centres that get no new work.
- * @property targetsReadAtNanos when the targets were last read, on the monotonic clock.
+ * @property operatorPosition position in the operator's log up to which it is known.
+ * @property targetsPosition position in the targets' log up to which it is known.
+ * @property targetsReadAtNanos when somebody last read the targets up to that position, on the monotonic clock.
  */
 internal data class FleetView(
     val routes: RouteTable? = null,
-    val targets: TargetTable? = null,
     val dataCentresOut: Set<String> = emptySet(),
+    val operatorPosition: Long = UNREAD,
     val routesReadAtNanos: Long = 0,
+    val targets: TargetTable = TargetTable(),
+    val targetsPosition: Long = UNREAD,
     val targetsReadAtNanos: Long = 0,
 ) {
+    /** Version of the configuration in force; [UNREAD] where there is none. */
+    val configVersion: Long get() = routes?.config?.version ?: UNREAD
+
     /** Whether callers can be served. */
-    val isComplete: Boolean get() = routes != null && !targets?.byId.isNullOrEmpty()
+    val isComplete: Boolean get() = routes != null && targets.byId.isNotEmpty()
 }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/DirectEntryTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/DirectEntryTest.kt
@@ -260,7 +260,19 @@
                 store = HostPort(HOST, 1),
                 bounds = FleetBounds(graceMillis = 1_000, retryPercent = 20, retrySlack = 90, retryWindowMillis = 10_000, fencing = true),
             )
-        val entry = DirectEntry(settings, FixedStore(targets.mapIndexed { index, it -> target("t$index", "plain", it.port) }), Clock.System)
+        val entry =
+            DirectEntry(
+                settings,
+                FixedStore(
+                    targets.mapIndexed {
+                        index,
+                        scripted,
+                        ->
+                        target("t$index", "plain", scripted.port)
+                    },
+                ),
+                Clock.System,
+            )
         entry.start()
         closing += AutoCloseable { entry.stop() }
         while (Caller(ports[1]).call("GET", "/v1/ready").status != 200) Thread.sleep(10)
--- a/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
@@ -6,6 +6,9 @@
 package io.jaybeam.wire
 
 import io.jaybeam.core.config.AcceptedChange
+import io.jaybeam.core.fleet.FleetConfig
+import io.jaybeam.core.fleet.FleetTarget
+import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.placement.GroupMap
 import io.jaybeam.core.rankgroup.FencedOrder
 import io.jaybeam.core.rankgroup.OrderOutcome
@@ -217,4 +220,44 @@
         @CborLabel(2) val outcome: OrderOutcome,
         @CborLabel(3) val reading: RankReading?,
     ) : Frame()
+
+    /** First frame of both ends of a link between entries; [known] are addresses of other entries. */
+    @Serializable
+    @SerialName("ph")
+    public data class PeerHello(
+        @CborLabel(1) val protocolVersion: Int,
+        @CborLabel(2) val instance: String,
+        @CborLabel(3) val address: HostPort,
+        @CborLabel(4) val known: List<HostPort>,
+    ) : Frame()
+
+    /** How far the sender knows the fleet; [targetsAgeMillis] is the time since the targets were last read. */
+    @Serializable
+    @SerialName("fn")
+    public data class FleetNews(
+        @CborLabel(1) val configVersion: Long,
+        @CborLabel(2) val operatorPosition: Long,
+        @CborLabel(3) val targetsPosition: Long,
+        @CborLabel(4) val targetsAgeMillis: Long,
+    ) : Frame()
+
+    /** Asks for what the sender lacks beyond the version and positions that it states. */
+    @Serializable
+    @SerialName("fq")
+    public data class FleetRequest(
+        @CborLabel(1) val configVersion: Long,
+        @CborLabel(2) val operatorPosition: Long,
+        @CborLabel(3) val targetsPosition: Long,
+    ) : Frame()
+
+    /** Answers [FleetRequest]; [config] and [targets] are null where the asker has them. */
+    @Serializable
+    @SerialName("fs")
+    public data class FleetState(
+        @CborLabel(1) val config: FleetConfig?,
+        @CborLabel(2) val dataCentresOut: List<String>,
+        @CborLabel(3) val operatorPosition: Long,
+        @CborLabel(4) val targets: List<FleetTarget>?,
+        @CborLabel(5) val targetsPosition: Long,
+    ) : Frame()
 }
