--- a/entry/src/main/kotlin/io/jaybeam/entry/Main.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/Main.kt
@@ -54,7 +54,11 @@
     private var checkOnly: Boolean = false
 
     override fun call(): Int {
-        if (isOnPlatform) return runWith(readInstanceSettings(), checkOnly) { DirectEntry(it, platformStore(it.store), Clock.System) }
+        if (isOnPlatform) {
+            return runWith(readInstanceSettings(), checkOnly) {
+                DirectEntry(it, platformStore(it.store), Clock.System) { readInstanceSettings().getOrNull() }
+            }
+        }
         val path = settingsPath ?: return missingSettings()
         return runProcess(path, checkOnly, { entrySettings() }) { EntryProcess(it, Clock.System) }
     }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -21,6 +21,7 @@
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlin.time.Clock
 
@@ -30,6 +31,7 @@
 // The balancer asks each second and takes an instance out after two misses.
 private const val OUT_OF_ROTATION_MILLIS = 2_500L
 private const val STOP_MARGIN_MILLIS = 700L
+private const val SETTINGS_MILLIS = 10_000L
 private const val DRAIN_CHECK_MILLIS = 20L
 
 /** An entry on the platform. */
@@ -37,6 +39,7 @@
     private val settings: InstanceSettings,
     store: FleetStore,
     clock: Clock,
+    private val readSettings: () -> InstanceSettings? = { settings },
 ) : ServingProcess {
     private val events = EventLog(settings.instance, clock)
     private val knowledge = FleetKnowledge(events)
@@ -75,9 +78,14 @@
         port.start()
         peers.start()
         follower.start()
+        thread(name = "settings", isDaemon = true) { followSettings() }
         events.write(LogEvent.PROCESS_READY, LogField("callers", "${settings.callers}"))
     }
 
+    override fun reload() {
+        readSettings()?.let { peers.replaceSeeds(it.seeds) }
+    }
+
     override fun stop() {
         events.write(LogEvent.PROCESS_STOPPING, LogField("inFlight", "${inFlight.get()}"))
         isStopping = true
@@ -94,6 +102,14 @@
         events.write(LogEvent.PROCESS_STOPPED, LogField("inFlight", "${inFlight.get()}"))
     }
 
+    /** The settings file may change without a signal. */
+    private fun followSettings() {
+        while (true) {
+            Thread.sleep(SETTINGS_MILLIS)
+            reload()
+        }
+    }
+
     private fun serve(context: Context, response: ServletResponse) {
         inFlight.incrementAndGet()
         val arrivedNanos = System.nanoTime()
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/PeerExchange.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/PeerExchange.kt
@@ -33,7 +33,7 @@
 internal class PeerExchange(
     private val instance: String,
     private val address: HostPort,
-    private val seeds: List<HostPort>,
+    initialSeeds: List<HostPort>,
     private val store: FleetStore,
     private val knowledge: FleetKnowledge,
     private val events: EventLog,
@@ -45,6 +45,7 @@
     private val runtime = LinkRuntime()
     private val peers = ConcurrentHashMap<Link, Peer>()
     private val known = ConcurrentHashMap.newKeySet<HostPort>()
+    private val seeds = ConcurrentHashMap.newKeySet<HostPort>().also { it += initialSeeds - address }
     private val connecting = ConcurrentHashMap.newKeySet<HostPort>()
 
     /** Entries that a link is open to. */
@@ -55,13 +56,23 @@
             .size
 
     fun start() {
-        known += seeds - address
+        known += seeds
         runtime.listen(address.host, address.port) { Handler(null) }
         knowledge.onRead { broadcast() }
         thread(name = "peers", isDaemon = true) { run() }
         thread(name = "membership", isDaemon = true) { keepMembership() }
     }
 
+    /** Takes over the [next] seeds. */
+    fun replaceSeeds(next: List<HostPort>) {
+        val others = next.toSet() - address
+        if (others == seeds.toSet()) return
+        seeds.clear()
+        seeds += others
+        known += others
+        events.write(LogEvent.SETTINGS_RELOADED, LogField("seeds", others.joinToString(",")))
+    }
+
     override fun close() = runtime.close()
 
     private fun run() {
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/settings/ServingProcess.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/settings/ServingProcess.kt
@@ -17,6 +17,9 @@
     /** Starts every duty; throws if a port cannot be had. */
     public fun start()
 
+    /** Takes over what has changed in the settings and can change while the process runs; nothing where this is not overridden. */
+    public fun reload() {}
+
     /** Takes no new work, waits for all work to end and returns. */
     public fun stop()
 }
@@ -62,6 +65,7 @@
         EventLog("unnamed", Clock.System).write(LogEvent.START_FAILED, LogField("detail", "${rootCause(e)}"), LogField("remedy", remedy))
         return EXIT_START_FAILED
     }
+    termination.onReload(process::reload)
     termination.onShutdown(process::stop)
     CountDownLatch(1).await()
     return 0
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/settings/Termination.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/settings/Termination.kt
@@ -1,5 +1,5 @@
 /*
- * Graceful shutdown on SIGTERM and SIGINT with exit code 0.
+ * Graceful shutdown on SIGTERM and SIGINT with exit code 0, and a reload on SIGHUP, which would end the process otherwise.
  */
 package io.jaybeam.runtime.settings
 
@@ -9,13 +9,17 @@
 import kotlin.concurrent.thread
 import kotlin.system.exitProcess
 
-/** Runs one graceful shutdown however many signals arrive, also while the process still starts. */
+/** Runs one graceful shutdown however many signals arrive, also while the process still starts; and a reload for each SIGHUP. */
 public class Termination {
     private val begun = AtomicBoolean()
     private val shutdown = CompletableFuture<() -> Unit>()
 
-    /** Takes over SIGTERM and SIGINT. */
+    @Volatile
+    private var reload: () -> Unit = {}
+
+    /** Takes over SIGTERM, SIGINT and SIGHUP. */
     public fun install() {
+        Signal.handle(Signal("HUP")) { thread(name = "reload") { reload() } }
         listOf("TERM", "INT").forEach { name -> Signal.handle(Signal(name)) { begin() } }
     }
 
@@ -24,6 +28,11 @@
         shutdown.complete(block)
     }
 
+    /** Runs [block] on each SIGHUP from now on. */
+    public fun onReload(block: () -> Unit) {
+        reload = block
+    }
+
     /** Waits for the start to finish, since a port that is open already may have taken a request. */
     private fun begin() {
         if (!begun.compareAndSet(false, true)) return
