--- a/core/src/main/kotlin/io/jaybeam/core/fleet/InstanceSettings.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/InstanceSettings.kt
@@ -24,6 +24,7 @@
  * @property seeds peers that may know the fleet; they may be gone.
  * @property target the target on this process's own machine; null where there is none.
  * @property store the platform's log.
+ * @property operators where operators read metrics and state; null where nothing is served to them.
  */
 public data class InstanceSettings(
     val instance: String,
@@ -37,6 +38,7 @@
     val targetService: String?,
     val store: HostPort,
     val bounds: FleetBounds,
+    val operators: HostPort? = null,
 )
 
 /**
--- /dev/null
+++ b/core/src/test/kotlin/io/jaybeam/core/fleet/FleetDecisionsTest.kt
@@ -0,0 +1,84 @@
+package io.jaybeam.core.fleet
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+private const val NANOS_PER_SECOND = 1_000_000_000L
+
+internal class FleetDecisionsTest {
+    private var nowNanos = 0L
+    private val limit = ColdLimit { nowNanos }
+
+    @Test
+    fun `in any second all instances together send a cold target no more than it bears`() {
+        val random = Random(4)
+        val instances = List(5) { ColdLimit { nowNanos } }
+        val sent = mutableListOf<Long>()
+        repeat(20_000) {
+            nowNanos += random.nextLong(NANOS_PER_SECOND / 500)
+            if (instances.random(random).tryTake("t", coldShare(36.0, instances.size))) sent += nowNanos
+        }
+        val most = sent.indices.maxOf { first -> sent.drop(first).takeWhile { it < sent[first] + NANOS_PER_SECOND }.size }
+        assertTrue(most in 30..36, "$most in one second")
+    }
+
+    @Test
+    fun `a cold target has room again after a second`() {
+        assertTrue(limit.tryTake("t", 1.0))
+        assertFalse(limit.hasRoom("t", 1.0) || limit.tryTake("t", 1.0))
+        assertTrue(limit.hasRoom("other", 1.0))
+        nowNanos = NANOS_PER_SECOND + 1
+        assertTrue(limit.tryTake("t", 1.0))
+    }
+
+    @Test
+    fun `the route with the longest prefix wins and a key names its organisation`() {
+        val table = RouteTable(config(route("/a/", isPublic = false), route("/a/b/", isPublic = true)))
+        assertEquals("/a/b/", assertIs<RouteMatch.Allowed>(table.match("Shop.Example:80", "/a/b/c", null)).route.pathPrefix)
+        assertEquals("lens", assertIs<RouteMatch.Allowed>(table.match("shop.example", "/a/c", "k")).organisation)
+        assertEquals(RouteMatch.UnknownKey, table.match("shop.example", "/a/c", "other"))
+        assertEquals(RouteMatch.NoRoute, table.match("shop.example", "/b/c", "k"))
+        assertEquals(RouteMatch.NoRoute, table.match("other.example", "/a/c", "k"))
+    }
+
+    @Test
+    fun `weights share the requests of a split route`() {
+        val route = route("/a/", isPublic = true).copy(services = listOf(WeightedService("x", 90), WeightedService("y", 10)))
+        assertEquals(900, (0 until 1_000).count { serviceFor(route, it / 1_000.0) == "x" })
+    }
+
+    @Test
+    fun `the least loaded target per place is chosen and among equals one nearby`() {
+        val near = target("near", "north", slots = 8)
+        val far = target("far", "south", slots = 16)
+        assertEquals(far, chooseTarget(listOf(TargetLoad(near, 3, 0), TargetLoad(far, 4, 0)), "north", Random(1)))
+        assertEquals(near, chooseTarget(listOf(TargetLoad(near, 2, 0), TargetLoad(far, 4, 0)), "north", Random(1)))
+        assertEquals(far, chooseTarget(listOf(TargetLoad(near, 0, 1), TargetLoad(far, 4, 0)), "north", Random(1)))
+        assertNull(chooseTarget(emptyList(), "north", Random(1)))
+    }
+
+    @Test
+    fun `leaving targets and those of data centres that are out are not used`() {
+        val leaving = target("l", "north", 8).copy(isLeaving = true)
+        val table =
+            TargetTable().after(
+                listOf(leaving, target("n", "north", 8), target("s", "south", 8)).map { TargetNotice.Announced(it) },
+            )
+        assertEquals(listOf("s"), table.usable("plain", setOf("north")).map { it.id })
+        assertEquals(listOf("n"), table.after(listOf(TargetNotice.Withdrawn("s"))).usable("plain", emptySet()).map { it.id })
+    }
+
+    private fun config(vararg routes: Route) =
+        FleetConfig(1, routes.toList(), emptyList(), listOf(Organisation("lens", setOf("k"))), CallerLimits(1, 1, 1, 1))
+
+    private fun route(prefix: String, isPublic: Boolean) =
+        Route(prefix, "shop.example", prefix, RouteKind.IDEMPOTENT, 1, 1, 1, listOf(WeightedService("x", 1)), 1, isPublic, false, 0)
+
+    private fun target(id: String, dataCentre: String, slots: Int) =
+        FleetTarget(id, "plain", "127.0.0.1", 1, dataCentre, slots, isLeaving = false, coldMillis = 0, bornAtEpochMillis = 0)
+}
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectCallerPort.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectCallerPort.kt
@@ -38,7 +38,9 @@
 internal class DirectCallerPort(
     private val callers: HostPort,
     readiness: HostPort?,
+    private val operators: HostPort?,
     private val serve: (Context, ServletResponse) -> Unit,
+    private val serveOperators: (Context) -> Unit,
     private val isReady: () -> Boolean,
     private val isStopping: () -> Boolean,
 ) {
@@ -50,6 +52,7 @@
             config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS, IDLE_THREAD_MILLIS)
             config.jetty.addConnector { server, http -> connector(server, http, callers) }
             if (readiness != null && readinessPort != null) config.jetty.addConnector { server, http -> connector(server, http, readiness) }
+            if (operators != null) config.jetty.addConnector { server, http -> connector(server, http, operators) }
             config.jetty.modifyHttpConfiguration(::configure)
             methods.forEach { config.routes.addEndpoint(Endpoint.create(it, "*").handler(::handle)) }
         }
@@ -83,6 +86,7 @@
             context.status(if (context.req().requestURI == READY_PATH && isReady()) 200 else 503)
             return
         }
+        if (context.req().localPort == operators?.port) return serveOperators(context)
         val response = ServletResponse(context, isStopping)
         try {
             serve(context, response)
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -4,6 +4,7 @@
 package io.jaybeam.entry.direct
 
 import io.javalin.http.Context
+import io.jaybeam.core.fleet.ColdLimit
 import io.jaybeam.core.fleet.FleetStore
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.InstanceSettings
@@ -49,6 +50,7 @@
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
     private val requestLog = RequestLog(events)
     private val inFlight = AtomicInteger()
+    private val metrics = EntryMetrics(knowledge, loads, inFlight::get, peers::peerCount)
 
     @Volatile
     private var isStopping = false
@@ -64,6 +66,8 @@
             loads = loads,
             sender = TargetSender(),
             budgetOf = { service -> budgets.computeIfAbsent(service) { RetryBudget(settings.bounds.retrySlack / ENTRIES_SHARING_SLACK) } },
+            coldLimit = ColdLimit(),
+            entryCount = peers::entryCount,
             retryPercent = settings.bounds.retryPercent,
             onSendFailed = requestLog::sendFailed,
             onResumed = requestLog::resumed,
@@ -72,7 +76,9 @@
         DirectCallerPort(
             callers = settings.callers ?: HostPort(settings.host, 0),
             readiness = settings.readiness,
+            operators = settings.operators,
             serve = ::serve,
+            serveOperators = metrics::serve,
             isReady = { !isStopping && knowledge.view.isComplete },
             isStopping = { isStopping },
         )
@@ -121,6 +127,7 @@
         try {
             val end = answer(context, caller, arrivedNanos, response)
             requestLog.ended(caller, end, knowledge.view, arrivedNanos)
+            metrics.ended(end, System.nanoTime() - arrivedNanos)
         } catch (e: IOException) {
             requestLog.abandoned(caller, "request or answer: ${e.javaClass.simpleName}: ${e.message}", arrivedNanos)
         } finally {
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -6,9 +6,11 @@
  */
 package io.jaybeam.entry.direct
 
+import io.jaybeam.core.fleet.ColdLimit
 import io.jaybeam.core.fleet.FleetTarget
 import io.jaybeam.core.fleet.RouteKind
 import io.jaybeam.core.fleet.chooseTarget
+import io.jaybeam.core.fleet.coldShare
 import io.jaybeam.core.routing.RetryBudget
 import io.jaybeam.platform.Header
 import io.jaybeam.platform.isPassedToCaller
@@ -61,6 +63,8 @@
     private val loads: TargetLoads,
     private val sender: TargetSender,
     private val budgetOf: (String) -> RetryBudget,
+    private val coldLimit: ColdLimit,
+    private val entryCount: () -> Int,
     private val retryPercent: Int,
     private val onSendFailed: (DirectCall, SendRecord) -> Unit,
     private val onResumed: (DirectCall, SendRecord, Long) -> Unit,
@@ -103,8 +107,15 @@
 
         private fun nextTarget(): FleetTarget? {
             val now = view()
-            val candidates = now.targets.usable(call.service, now.dataCentresOut).filter { it.id !in tried }
-            return chooseTarget(candidates.map(loads::of), homeDataCentre, Random.Default)
+            val nowNanos = System.nanoTime()
+            val perSecond = now.routes?.service(call.service)?.coldRequestsPerSecond ?: 0.0
+            val share = coldShare(perSecond, entryCount())
+            val limitsCold = perSecond > 0.0
+            val candidates = now.targets.usable(call.service, now.dataCentresOut).filterTo(mutableListOf()) { it.id !in tried }
+            if (limitsCold) candidates.removeAll { now.isCold(it.id, nowNanos) && !coldLimit.hasRoom(it.id, share) }
+            val chosen = chooseTarget(candidates.map(loads::of), homeDataCentre, Random.Default) ?: return null
+            val isTaken = !limitsCold || !now.isCold(chosen.id, nowNanos) || coldLimit.tryTake(chosen.id, share)
+            return chosen.takeIf { isTaken }
         }
 
         /** Returns how the call ended, or null to try another target. */
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/EntryMetrics.kt
@@ -0,0 +1,103 @@
+/*
+ * Counters and latencies of an entry, and its state, for operators.
+ */
+package io.jaybeam.entry.direct
+
+import io.javalin.http.Context
+import io.jaybeam.core.fleet.TargetLoad
+import io.jaybeam.runtime.observe.metricsRegistry
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Timer
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import java.time.Duration
+
+/** Measures of one entry. Thread-safe. */
+internal class EntryMetrics(
+    private val knowledge: FleetKnowledge,
+    private val loads: TargetLoads,
+    inFlight: () -> Int,
+    private val peerCount: () -> Int,
+) {
+    private val registry = metricsRegistry()
+    private val latency =
+        Timer
+            .builder("jaybeam.entry.call")
+            .publishPercentileHistogram()
+            .maximumExpectedValue(Duration.ofSeconds(MAX_SECONDS))
+            .register(registry)
+
+    init {
+        Gauge.builder("jaybeam.entry.calls.in.flight", inFlight).register(registry)
+        Gauge.builder("jaybeam.entry.peers", peerCount).register(registry)
+        Gauge.builder("jaybeam.config.version") { knowledge.view.configVersion }.register(registry)
+        Gauge.builder("jaybeam.targets.age.millis") { targetsAgeMillis() }.register(registry)
+    }
+
+    /** Notes that a call ended so after [nanos]. */
+    fun ended(end: CallEnd, nanos: Long) {
+        latency.record(Duration.ofNanos(nanos))
+        Counter
+            .builder("jaybeam.entry.calls")
+            .tag("outcome", outcomeOf(end))
+            .register(registry)
+            .increment()
+    }
+
+    /** Serves /metrics and /dump. */
+    fun serve(context: Context) {
+        when (context.req().requestURI) {
+            "/metrics" -> context.contentType("text/plain; version=0.0.4").result(registry.scrape())
+            "/dump" -> context.contentType("application/json").result("${dump()}")
+            else -> context.status(404).result("serves /metrics and /dump\n")
+        }
+    }
+
+    private fun outcomeOf(end: CallEnd): String =
+        when (end) {
+            is CallEnd.Answered -> "answered"
+            is CallEnd.Refused -> "refused_${end.refusal.name.lowercase()}"
+            is CallEnd.BrokenOff -> "broken_off"
+            is CallEnd.CallerGone -> "caller_gone"
+        }
+
+    private fun targetsAgeMillis() = (System.nanoTime() - knowledge.view.targetsReadAtNanos) / NANOS_PER_MILLI
+
+    private fun dump(): JsonObject {
+        val view = knowledge.view
+        return buildJsonObject {
+            put("configVersion", view.configVersion)
+            put("operatorPosition", view.operatorPosition)
+            put("targetsPosition", view.targetsPosition)
+            put("targetsAgeMillis", targetsAgeMillis())
+            put("peers", peerCount())
+            put("dataCentresOut", JsonArray(view.dataCentresOut.sorted().map(::JsonPrimitive)))
+            put(
+                "targets",
+                JsonArray(
+                    view.targets.byId.values
+                        .map { dumpTarget(loads.of(it)) },
+                ),
+            )
+        }
+    }
+
+    private fun dumpTarget(load: TargetLoad): JsonObject =
+        buildJsonObject {
+            put("id", load.target.id)
+            put("service", load.target.service)
+            put("address", "${load.target.host}:${load.target.port}")
+            put("dataCentre", load.target.dataCentre)
+            put("isLeaving", load.target.isLeaving)
+            put("requests", load.requests)
+            put("recentFailures", load.recentFailures)
+        }
+
+    private companion object {
+        const val MAX_SECONDS = 30L
+    }
+}
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetKnowledge.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetKnowledge.kt
@@ -120,7 +120,7 @@
     private fun setTargets(targets: TargetTable, position: Long) {
         val before = view.targets.idsInUse()
         val after = targets.idsInUse()
-        view = view.copy(targets = targets, targetsPosition = position)
+        view = view.copy(targets = targets, coldUntilNanos = coldUntil(targets), targetsPosition = position)
         if (before == after) return
         val added = LogField("added", (after - before).joinToString(","))
         events.write(
@@ -131,6 +131,16 @@
         )
     }
 
+    /** A target that says again that it is cold is cold for as long as it says from now on. */
+    private fun coldUntil(targets: TargetTable): Map<String, Long> {
+        val now = nanoTime()
+        return targets.byId.values.filter { it.coldMillis > 0 }.associate { target ->
+            val isKnown = view.targets.byId[target.id] == target
+            val until = view.coldUntilNanos[target.id]?.takeIf { isKnown } ?: (now + target.coldMillis * NANOS_PER_MILLI)
+            target.id to until
+        }
+    }
+
     private fun logUnusable(page: LogPage<*>) = page.unusable.forEach { events.write(LogEvent.RECORD_UNUSABLE, LogField("detail", it)) }
 }
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/PeerExchange.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/PeerExchange.kt
@@ -55,6 +55,9 @@
             .toSet()
             .size
 
+    /** Entries that share a limit with this one, itself among them; those that cannot be reached count too. */
+    val entryCount: Int get() = known.size + 1
+
     fun start() {
         known += seeds
         runtime.listen(address.host, address.port) { Handler(null) }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/Rehearsal.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/Rehearsal.kt
@@ -49,6 +49,7 @@
     // Nobody listens there; the client and what it needs are loaded all the same.
     platformStore(settings.store).newestTargets()
     val client = singleAttemptClient(HttpTimeouts())
+    client.newCall(Request.Builder().url("http://${settings.operators}/metrics").build()).execute().use { it.body.bytes() }
     repeat(REQUESTS) {
         val request =
             Request
@@ -62,7 +63,7 @@
     return 0
 }
 
-private const val PORTS = 5
+private const val PORTS = 6
 
 private fun rehearsalLog() = EventLog("rehearsal", Clock.System)
 
@@ -80,6 +81,7 @@
         targetService = null,
         store = addresses[3],
         bounds = FleetBounds(graceMillis = 0, retryPercent = 0, retrySlack = 0, retryWindowMillis = 1, fencing = true),
+        operators = addresses[4],
     )
 }
 
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
@@ -17,9 +17,15 @@
 import kotlin.concurrent.thread
 
 // A coordinator that is gone is replaced after the lifetime; three joins fit into one.
-private const val LIFETIME_MILLIS = 3_000L
-private const val JOIN_MILLIS = 1_000L
+private const val LIFETIME_MILLIS = 2_000L
+private const val JOIN_MILLIS = 650L
 private const val GROUP_UNKNOWN_MILLIS = 100L
+
+// A change of membership takes effect when all members have joined under the new generation.
+private const val REJOIN_MILLIS = 60L
+
+// Without a coordinator the group keeps its map, so it is looked for more often, at first.
+private const val FIRST_SEARCH_MILLIS = 100L
 private const val TOPIC_PREFIX = "expert-map-"
 
 /** Runs the election on a thread of its own. */
@@ -34,6 +40,8 @@
     private var generation = 0L
     private var isMine = false
     private var isStoreLost = false
+    private var hasGenerationChanged = false
+    private var searchMillis = FIRST_SEARCH_MILLIS
 
     @Volatile
     private var link: Link? = null
@@ -55,11 +63,22 @@
     private fun run() {
         while (!isClosed) {
             val group = watch.group
-            if (group != null) round(TOPIC_PREFIX + group)
-            Thread.sleep(if (group == null) GROUP_UNKNOWN_MILLIS else JOIN_MILLIS)
+            if (group == null) {
+                Thread.sleep(GROUP_UNKNOWN_MILLIS)
+            } else {
+                round(TOPIC_PREFIX + group)
+                Thread.sleep(pauseMillis())
+            }
         }
     }
 
+    private fun pauseMillis(): Long {
+        if (hasGenerationChanged) return REJOIN_MILLIS
+        val isLinked = link?.isOpen == true
+        searchMillis = if (isLinked) FIRST_SEARCH_MILLIS else minOf(searchMillis * 2, JOIN_MILLIS)
+        return if (isLinked) JOIN_MILLIS else searchMillis
+    }
+
     private fun round(topic: String) {
         store.joinCandidates(topic, address, generation, LIFETIME_MILLIS).fold(
             ::storeLost,
@@ -72,6 +91,7 @@
                         LogField("generation", "${term.generation}"),
                     )
                 }
+                hasGenerationChanged = term.generation != generation
                 isMine = term.isMine
                 generation = term.generation
                 coordinator.tell(CoordinatorMessage.Term(term.generation.takeIf { term.isMine }))
@@ -101,6 +121,7 @@
     }
 
     private fun storeLost(fault: StoreFault) {
+        hasGenerationChanged = false
         if (!isStoreLost) events.write(LogEvent.STORE_LOST, LogField("follower", "election"), LogField("detail", fault.detail))
         isStoreLost = true
     }
