--- /dev/null
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/RankSideTest.kt
@@ -0,0 +1,224 @@
+package io.jaybeam.side.rank
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.jaybeam.core.fleet.CallerLimits
+import io.jaybeam.core.fleet.CoordinatorTerm
+import io.jaybeam.core.fleet.EngineModel
+import io.jaybeam.core.fleet.FleetBounds
+import io.jaybeam.core.fleet.FleetConfig
+import io.jaybeam.core.fleet.FleetStore
+import io.jaybeam.core.fleet.HostPort
+import io.jaybeam.core.fleet.InstanceSettings
+import io.jaybeam.core.fleet.LogPage
+import io.jaybeam.core.fleet.OperatorNotice
+import io.jaybeam.core.fleet.ServicePolicy
+import io.jaybeam.core.fleet.StoreFault
+import io.jaybeam.core.fleet.TargetNotice
+import io.jaybeam.core.placement.GroupMap
+import io.jaybeam.core.rankgroup.ArmedMap
+import io.jaybeam.core.rankgroup.ExpertCounts
+import io.jaybeam.core.rankgroup.FencedOrder
+import io.jaybeam.core.rankgroup.OrderOutcome
+import io.jaybeam.core.rankgroup.RankExperts
+import io.jaybeam.core.rankgroup.RankFault
+import io.jaybeam.core.rankgroup.RankPort
+import io.jaybeam.core.rankgroup.RankReading
+import io.jaybeam.core.rankgroup.RankStatus
+import java.net.ServerSocket
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Clock
+
+private const val RANKS = 3
+private const val EXPERTS = 6
+private const val SLOTS = 3
+private const val HOST = "127.0.0.1"
+private const val PASS_MILLIS = 15L
+private const val SETTLE_MILLIS = 15_000L
+
+/** A group of ranks in this process that makes passes while it is not held. */
+private class InProcessGroup : AutoCloseable {
+    val ranks = List(RANKS) { InProcessRank(it, this) }
+    val mapsOfPasses = mutableListOf<Set<Long>>()
+    var lastPass = 0L
+
+    /** Tokens that each expert gets in a pass. */
+    @Volatile
+    var demand = List(EXPERTS) { 10L }
+
+    @Volatile
+    private var isRunning = true
+    private val passes = thread(isDaemon = true) { while (isRunning) pass() }
+
+    /** The version that all ranks use; null while they differ. */
+    val version: Long? get() = synchronized(this) { ranks.map { it.map }.toSet().singleOrNull() }
+
+    override fun close() {
+        isRunning = false
+        passes.join()
+    }
+
+    private fun pass() {
+        Thread.sleep(PASS_MILLIS)
+        synchronized(this) {
+            if (ranks.any { it.held == lastPass + 1 }) return
+            lastPass += 1
+            ranks.forEach { it.begin(lastPass) }
+            mapsOfPasses += ranks.map { it.map }.toSet()
+        }
+    }
+}
+
+/** One rank of an [InProcessGroup]; loads weights at once. */
+private class InProcessRank(
+    private val number: Int,
+    private val group: InProcessGroup,
+) : RankPort {
+    var map = 0L
+    var held: Long? = null
+    private var experts = listOf(listOf(number * 2, number * 2 + 1))
+    private var prepared: Pair<Long, List<List<Int>>>? = null
+    private var armed: ArmedMap? = null
+    private var fence = 0L
+    private val counts = LongArray(EXPERTS)
+
+    fun begin(pass: Long) {
+        group.demand.forEachIndexed { expert, tokens -> counts[expert] += tokens }
+        if (armed?.pass != pass) return
+        map = checkNotNull(armed).version
+        experts = checkNotNull(prepared).second
+        armed = null
+    }
+
+    override fun status(): Either<RankFault, RankStatus> =
+        synchronized(group) {
+            val reading = RankReading(number, 1, true, group.lastPass, map, prepared?.first ?: 0, armed, held)
+            RankStatus(reading, "g0", RANKS, 1, 0).right()
+        }
+
+    override fun counts(): Either<RankFault, ExpertCounts> =
+        synchronized(group) { ExpertCounts(1, group.lastPass, counts.toList()).right() }
+
+    override fun experts(): Either<RankFault, RankExperts> = synchronized(group) { RankExperts(map, experts).right() }
+
+    override fun give(order: FencedOrder, map: GroupMap?): OrderOutcome =
+        synchronized(group) {
+            if (order.fence < fence) return OrderOutcome.FENCED
+            fence = order.fence
+            when (order) {
+                is FencedOrder.Claim, is FencedOrder.Disarm -> {
+                    if (order is FencedOrder.Disarm) armed = null
+                    OrderOutcome.CONFLICT
+                }
+
+                is FencedOrder.Prepare -> {
+                    accept { prepared = order.version to checkNotNull(map).sets.indices.map { map.expertsOf(it, number).distinct() } }
+                }
+
+                is FencedOrder.Hold -> {
+                    if (order.pass <= group.lastPass) OrderOutcome.CONFLICT else accept { held = order.pass }
+                }
+
+                is FencedOrder.Arm -> {
+                    if (order.pass <= group.lastPass) OrderOutcome.CONFLICT else accept { armed = ArmedMap(order.version, order.pass) }
+                }
+
+                is FencedOrder.Release -> {
+                    accept { held = null }
+                }
+            }
+        }
+
+    private fun accept(change: () -> Unit): OrderOutcome {
+        change()
+        return OrderOutcome.ACCEPTED
+    }
+}
+
+/** A store whose coordinator is the candidate that joined first of those that still join. */
+private class InProcessStore : FleetStore {
+    private val joinedAtMillis = linkedMapOf<HostPort, Long>()
+    private var generation = 0L
+    private var members = emptySet<HostPort>()
+
+    val coordinator: HostPort? get() = synchronized(this) { joinedAtMillis.keys.firstOrNull() }
+
+    override fun joinCandidates(
+        group: String,
+        address: HostPort,
+        generation: Long,
+        lifetimeMillis: Long,
+    ): Either<StoreFault, CoordinatorTerm> =
+        synchronized(this) {
+            val now = System.nanoTime() / NANOS_PER_MILLI
+            joinedAtMillis[address] = now
+            joinedAtMillis.values.removeIf { now - it > lifetimeMillis }
+            if (members != joinedAtMillis.keys) this.generation += 1
+            members = joinedAtMillis.keys.toSet()
+            CoordinatorTerm(coordinator == address, this.generation).right()
+        }
+
+    override fun coordinator(group: String): Either<StoreFault, HostPort?> = coordinator.right()
+
+    override fun newestOperator(): Either<StoreFault, LogPage<OperatorNotice>> {
+        val engine = EngineModel(8, 1, 1.0, 1.0, 1, EXPERTS, SLOTS, newExpertsPerChange = 2, expertMegabytes = 1.0, expertShare = 0.9)
+        val config = FleetConfig(1, emptyList(), listOf(ServicePolicy("pool", "", 1, 0.0, engine)), emptyList(), CallerLimits(1, 1, 1, 1))
+        return LogPage(listOf(OperatorNotice.Published(config)), 1, emptyList()).right()
+    }
+
+    override fun newestTargets(): Either<StoreFault, LogPage<TargetNotice>> = StoreFault.Refused("not asked here").left()
+
+    override fun targetsFrom(position: Long): Either<StoreFault, LogPage<TargetNotice>> = newestTargets()
+
+    override fun operatorFrom(position: Long, waitMillis: Long): Either<StoreFault, LogPage<OperatorNotice>> = newestOperator()
+}
+
+internal class RankSideTest {
+    private val group = InProcessGroup()
+    private val store = InProcessStore()
+    private val sides = group.ranks.map { rank -> settings().let { it.peers to RankSide(it, store, rank, Clock.System) } }
+
+    @AfterTest
+    fun close() {
+        sides.forEach { (_, side) -> side.stop() }
+        group.close()
+    }
+
+    @Test
+    fun `the map follows demand, also after the coordinator is gone, and no pass mixes maps`() {
+        sides.forEach { (_, side) -> side.start() }
+        group.demand = listOf(90, 80, 10, 10, 10, 10)
+        val first = awaitMapAfter(0)
+        val coordinator = checkNotNull(store.coordinator)
+        sides.first { it.first == coordinator }.second.stop()
+        // Its rank is not reported any more until its side is back.
+        val (address, rank) = sides.indexOfFirst { it.first == coordinator }.let { sides[it].first to group.ranks[it] }
+        val replacement = RankSide(settings(), store, rank, Clock.System)
+        replacement.start()
+        group.demand = listOf(10, 10, 10, 10, 80, 90)
+        awaitMapAfter(first)
+        assertTrue(store.coordinator != address)
+        replacement.stop()
+        assertEquals(emptyList(), synchronized(group) { group.mapsOfPasses.filter { it.size > 1 } })
+    }
+
+    private fun awaitMapAfter(version: Long): Long {
+        val until = System.nanoTime() + SETTLE_MILLIS * NANOS_PER_MILLI
+        while (System.nanoTime() < until) {
+            group.version?.takeIf { it > version }?.let { return it }
+            Thread.sleep(PASS_MILLIS)
+        }
+        error("no map after $version within $SETTLE_MILLIS ms; ranks are at ${group.ranks.map { it.map }}")
+    }
+
+    private fun settings(): InstanceSettings {
+        val address = HostPort(HOST, ServerSocket(0).use { it.localPort })
+        val bounds = FleetBounds(graceMillis = 0, retryPercent = 0, retrySlack = 0, retryWindowMillis = 1, fencing = true)
+        return InstanceSettings("side-${address.port}", "north", HOST, null, null, address, emptyList(), null, "pool", address, bounds)
+    }
+}
