--- a/entry/src/main/kotlin/io/jaybeam/entry/OnPlatform.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/OnPlatform.kt
@@ -17,7 +17,7 @@
 public fun main(args: Array<String>) {
     if (REHEARSE in args) exitProcess(rehearseEntry())
     exitProcess(
-        runWith(readInstanceSettings(), checkOnly = false) { settings ->
+        runWith(::readInstanceSettings, checkOnly = false) { settings ->
             DirectEntry(settings, platformStore(settings.store), Clock.System) { readInstanceSettings().getOrNull() }
         },
     )
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/settings/ServingProcess.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/settings/ServingProcess.kt
@@ -43,12 +43,12 @@
     checkOnly: Boolean,
     read: JsonShape.() -> S,
     make: (S) -> ServingProcess,
-): Int = runWith(readSettings(path, read), checkOnly, make)
+): Int = runWith({ readSettings(path, read) }, checkOnly, make)
 
-/** Serves with [settings], which are faults where they could not be read; see [runProcess]. */
-public fun <S, F : Any> runWith(settings: Either<List<F>, S>, checkOnly: Boolean, make: (S) -> ServingProcess): Int {
+/** Serves with what [settings] returns, or logs the faults that it returns; see [runProcess]. */
+public fun <S, F : Any> runWith(settings: () -> Either<List<F>, S>, checkOnly: Boolean, make: (S) -> ServingProcess): Int {
     val termination = Termination().also { it.install() }
-    return settings.fold(::refuse) { if (checkOnly) 0 else serve(termination, make(it)) }
+    return settings().fold(::refuse) { if (checkOnly) 0 else serve(termination, make(it)) }
 }
 
 private fun refuse(faults: List<Any>): Int {
--- a/side/src/main/kotlin/io/jaybeam/side/OnPlatform.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/OnPlatform.kt
@@ -14,5 +14,5 @@
 /** Serves until a signal comes; with the argument `rehearse`, runs for a moment on loopback. */
 public fun main(args: Array<String>) {
     if (REHEARSE in args) exitProcess(rehearseSide())
-    exitProcess(runWith(readInstanceSettings(), checkOnly = false, ::rankSide))
+    exitProcess(runWith(::readInstanceSettings, checkOnly = false, ::rankSide))
 }
