A map is armed for a nearer pass and with fewer new experts, so a shift of demand is answered sooner

Of that the change waited four passes, some 0.4 s while passes are long, between preparing and use. Ruled out: planning (50 ms), reports (200 ms), retries of the map change (no change was undone). Change: the pass is the second after the measured time of arming; a hold that comes too late takes a later pass and does not undo the change; three new experts a rank for four.

--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/GroupPlacementBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/GroupPlacementBenchmark.kt
@@ -45,6 +45,8 @@
         GroupPolicy("above 1.25, to 1.08, 6 a rank", GroupPlacementPolicy(SPARE, 6, 1.25, 1.08)),
         GroupPolicy("above 1.25, to 1.15, 6 a rank", GroupPlacementPolicy(SPARE, 6, 1.25, 1.15)),
         GroupPolicy("above 1.25, to 1.15, 4 a rank", GroupPlacementPolicy(SPARE, 4, 1.25, 1.15)),
+        GroupPolicy("above 1.25, to 1.15, 3 a rank", GroupPlacementPolicy(SPARE, 3, 1.25, 1.15)),
+        GroupPolicy("above 1.25, to 1.15, 2 a rank", GroupPlacementPolicy(SPARE, 2, 1.25, 1.15)),
         GroupPolicy("above 1.4, to 1.2, 6 a rank", GroupPlacementPolicy(SPARE, 6, 1.4, 1.2)),
     )
 
--- a/core/src/main/kotlin/io/jaybeam/core/rankgroup/ArmedMapChange.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/rankgroup/ArmedMapChange.kt
@@ -184,12 +184,12 @@
 /**
  * Timing of a change.
  *
- * @property passesAhead passes between the last pass known to have begun and the one at which a map is armed.
+ * @property leadMillis time that holding, arming and releasing take; a map is armed for a pass that begins after it.
  * @property prepareMillis time after which a change whose weights have not arrived is given up.
  * @property armMillis time after which a change that is not armed everywhere is given up.
  */
 public data class MapTiming(
-    val passesAhead: Long = 4,
+    val leadMillis: Long = 60,
     val prepareMillis: Long = 6_000,
     val armMillis: Long = 600,
 )
@@ -206,6 +206,7 @@
     private val timing: MapTiming = MapTiming(),
 ) {
     private val readings = HashMap<Int, RankReading>()
+    private val passClock = PassClock()
 
     /** Token of the next order. */
     public var fence: Long = firstFence
@@ -252,12 +253,18 @@
         when (reply.order) {
             is FencedOrder.Claim, is FencedOrder.Disarm -> if (reply.isAnswered) noteAnswered(reply.order)
             is FencedOrder.Prepare -> if (reply.outcome == OrderOutcome.CONFLICT && phase is MapPhase.Preparing) phase = MapPhase.Settled
-            is FencedOrder.Hold -> if (reply.outcome == OrderOutcome.CONFLICT && phase is MapPhase.Holding) giveUp()
+            is FencedOrder.Hold -> if (reply.outcome == OrderOutcome.CONFLICT) onHoldTooLate(reply.order)
             is FencedOrder.Arm -> if (reply.outcome == OrderOutcome.CONFLICT && phase is MapPhase.Arming) giveUp()
             is FencedOrder.Release -> Unit
         }
     }
 
+    /** The pass has begun, so nothing is held or armed: a later pass will do. */
+    private fun onHoldTooLate(order: FencedOrder.Hold) {
+        val now = phase
+        if (now is MapPhase.Holding && now.pass == order.pass) phase = MapPhase.Preparing(now.version, now.sinceMillis)
+    }
+
     private fun noteAnswered(order: FencedOrder) {
         val now = phase
         if (now is MapPhase.Claiming && order is FencedOrder.Claim) phase = now.copy(claimed = now.claimed + order.rank)
@@ -267,6 +274,7 @@
     /** Moves on as far as the readings allow and returns the orders that are due; unanswered ones are due again. */
     public fun ordersDue(nowMillis: Long): List<FencedOrder> {
         if (!isWholeAndOpen()) return emptyList()
+        passClock.onPass(readings.values.maxOf { it.lastPass }, nowMillis)
         repeat(MAX_ADVANCES) {
             val before = phase
             advance(nowMillis)
@@ -301,7 +309,7 @@
 
     private fun advancePreparing(now: MapPhase.Preparing, nowMillis: Long) {
         if (readings.values.all { it.preparedVersion == now.version }) {
-            val pass = readings.values.maxOf { it.lastPass } + timing.passesAhead
+            val pass = readings.values.maxOf { it.lastPass } + passClock.passesIn(timing.leadMillis) + 2
             phase = MapPhase.Holding(now.version, pass, nowMillis)
         } else if (nowMillis - now.sinceMillis > timing.prepareMillis) {
             phase = MapPhase.Settled
@@ -391,3 +399,27 @@
 }
 
 private const val MAX_ADVANCES = 8
+
+/** Measures how long a pass takes. */
+private class PassClock {
+    private var lastPass = 0L
+    private var atMillis = 0L
+    private var passMillis = 0.0
+
+    /** Notes that [pass] is the last one known to have begun. */
+    fun onPass(pass: Long, nowMillis: Long) {
+        if (pass == lastPass) return
+        val isNext = pass in lastPass + 1..lastPass + MAX_STEP
+        passMillis = if (isNext) (nowMillis - atMillis).toDouble() / (pass - lastPass) else 0.0
+        lastPass = pass
+        atMillis = nowMillis
+    }
+
+    /** Returns how many passes begin within [millis], at the pace of the last ones. */
+    fun passesIn(millis: Long): Long = if (passMillis <= 0.0) MAX_PASSES else (millis / passMillis).toLong().coerceIn(0, MAX_PASSES)
+
+    private companion object {
+        const val MAX_STEP = 50L
+        const val MAX_PASSES = 6L
+    }
+}
--- a/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
@@ -41,7 +41,7 @@
 private const val FENCE_BITS = 20
 
 // `bench group` on the trace of a day: this policy reaches the skew of larger changes with a quarter of the loads.
-private const val NEW_EXPERTS_PER_RANK = 4
+private const val NEW_EXPERTS_PER_RANK = 3
 private const val MIN_SKEW = 1.25
 private const val TARGET_SKEW = 1.15
 
