--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -102,11 +102,11 @@
         val begunNanos = System.nanoTime()
         val elapsedMillis = { (System.nanoTime() - begunNanos) / NANOS_PER_MILLI }
         val limitMillis = settings.bounds.graceMillis - STOP_MARGIN_MILLIS
-        while (elapsedMillis() < limitMillis &&
-            (elapsedMillis() < OUT_OF_ROTATION_MILLIS || inFlight.get() > 0)
-        ) {
+        while (elapsedMillis() < limitMillis && (elapsedMillis() < OUT_OF_ROTATION_MILLIS || inFlight.get() > 0)) {
+            isTooLate = elapsedMillis() > settings.bounds.graceMillis / 2
             Thread.sleep(DRAIN_CHECK_MILLIS)
         }
+        isTooLate = true
         port.close()
         peers.close()
         events.write(LogEvent.PROCESS_STOPPED, LogField("inFlight", "${inFlight.get()}"))
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -106,6 +106,12 @@
             received.close()
             return SendOutcome.NotRun("target answered ${received.code}")
         }
+        if (received.isSuccessful && !answer.isSealed) {
+            // A target that dies may close its connection after the head, which looks like an empty answer.
+            sent.cancel()
+            received.close()
+            return SendOutcome.Unknown("success without a seal")
+        }
         return SendOutcome.Answered(sent, received, answer)
     }
 
