--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
@@ -16,20 +16,20 @@
 private const val SETTLE_MILLIS = 4_000L
 private const val OUTPUT_CHARACTERS = 3_000
 
-/** The site of the scenario that runs on this thread, or on the thread that started this one. */
+/** The site of the scenario that runs now. */
 internal object Site {
-    private val current = InheritableThreadLocal<Fleet?>()
+    private var current: Fleet? = null
 
-    val fleet: Fleet get() = checkNotNull(current.get()) { "no site was started" }
+    val fleet: Fleet get() = checkNotNull(current) { "no site was started" }
 
     fun start(plan: FleetPlan) {
         stop()
-        current.set(Fleet(plan).also { it.start() })
+        current = Fleet(plan).also { it.start() }
     }
 
     fun stop() {
-        current.get()?.close()
-        current.remove()
+        current?.close()
+        current = null
     }
 
     fun target(instance: String): TargetPair = fleet.targets.first { it.instance == instance }
