A frozen or missing side no longer keeps its rank group waiting

Ruled out: the election alone (terms of 1 s instead of 2 s changed nothing by themselves). Change: the coordinator's own rank is armed last and disarmed first, and the pass is held on another machine, so a new coordinator that finds a rank unarmed can end the hold without the frozen one. Ranks whose sides are silent are reached directly. Terms are 1 s. Sides report each 120 ms, and each 50 ms while a map changes. RankSideTest (frozen side) failed before; ArmedMapChangePropertiesTest fails with each of three parts taken away.

--- a/core/src/main/kotlin/io/jaybeam/core/rankgroup/ArmedMapChange.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/rankgroup/ArmedMapChange.kt
@@ -6,6 +6,12 @@
  * disarmed. Each order carries a fencing token and the group's epoch. To give a change up, the coordinator takes a
  * higher token and disarms with it, after which ranks refuse the earlier orders however late they arrive. A new
  * coordinator first raises the token on every rank and only then reads them.
+ *
+ * A coordinator that freezes may take the rank on its own machine with it, and must not leave the group on hold. So the
+ * coordinator's own rank, the anchor of the change, is armed after all others and disarmed before all others: while any
+ * other rank is not armed, the anchor is not armed either and never will be. A new coordinator that reaches all ranks but
+ * the anchor, and finds one that is not armed, can therefore disarm those it reaches and release the pass. The version of a
+ * map names its anchor.
  */
 package io.jaybeam.core.rankgroup
 
@@ -137,7 +143,7 @@
 
 /** How far the coordinator is with the group. */
 public sealed class MapPhase {
-    /** Raises the fencing token on every rank. */
+    /** Raises the fencing token on every rank; [claimed] have answered. */
     public data class Claiming(
         val fence: Long,
         val claimed: Set<Int> = emptySet(),
@@ -195,13 +201,15 @@
 )
 
 /**
- * Coordinates one group of [size] ranks; [holder] is the rank on which passes are held, best the nearest one.
+ * Coordinates one group of [size] ranks; passes are held on [holder], which must be on another machine than [anchor], the
+ * rank beside this coordinator, so that one machine that stands still does not block the group.
  *
  * Not thread-safe. [firstFence] must be higher than any that another coordinator has used.
  */
 public class ArmedMapChange(
-    private val size: Int,
+    public val size: Int,
     private val holder: Int,
+    private val anchor: Int,
     firstFence: Long,
     private val timing: MapTiming = MapTiming(),
 ) {
@@ -225,12 +233,14 @@
     /** Last reading of each rank that is known, by rank. */
     public val known: Map<Int, RankReading> get() = readings
 
-    /** Begins the change to [version], which must be higher than any version before. */
-    public fun propose(version: Long, nowMillis: Long) {
+    /** Begins the change to a new map and returns its version, which is higher than any before. */
+    public fun propose(nowMillis: Long): Long {
         check(isSettled) { "a change is under way; wait until the coordinator is settled" }
         // Orders of an earlier change that are carried out late are refused from here on.
         fence += 1
+        val version = fence * MAX_RANKS + anchor
         phase = MapPhase.Preparing(version, nowMillis)
+        return version
     }
 
     /** Notes what was read of a rank. */
@@ -273,7 +283,7 @@
 
     /** Moves on as far as the readings allow and returns the orders that are due; unanswered ones are due again. */
     public fun ordersDue(nowMillis: Long): List<FencedOrder> {
-        if (!isWholeAndOpen()) return emptyList()
+        if (!isWholeAndOpen()) return if (phase is MapPhase.Claiming && isOpenButForOne()) orders() else emptyList()
         passClock.onPass(readings.values.maxOf { it.lastPass }, nowMillis)
         repeat(MAX_ADVANCES) {
             val before = phase
@@ -339,7 +349,7 @@
     private fun orders(): List<FencedOrder> =
         when (val now = phase) {
             is MapPhase.Claiming -> {
-                unclaimed(now.claimed).map { FencedOrder.Claim(it.rank, it.epoch, fence) }
+                unclaimed(now.claimed).map { FencedOrder.Claim(it.rank, it.epoch, fence) } + ordersWithoutAnchor(now.claimed)
             }
 
             is MapPhase.Preparing -> {
@@ -358,8 +368,7 @@
             }
 
             is MapPhase.Arming -> {
-                val wanted = ArmedMap(now.version, now.pass)
-                readings.values.filter { it.armed != wanted }.map { FencedOrder.Arm(it.rank, it.epoch, fence, now.version, now.pass) }
+                unarmed(ArmedMap(now.version, now.pass)).map { FencedOrder.Arm(it.rank, it.epoch, fence, now.version, now.pass) }
             }
 
             is MapPhase.Releasing -> {
@@ -375,19 +384,46 @@
             }
         }
 
+    /** Returns the ranks to be armed now: the anchor after all others. */
+    private fun unarmed(wanted: ArmedMap): List<RankReading> {
+        val (anchors, others) = readings.values.filter { it.armed != wanted }.partition { it.rank == anchor }
+        return others.ifEmpty { anchors }
+    }
+
+    /** Returns orders that end a hold while the anchor of its change does not answer, where that is safe. */
+    private fun ordersWithoutAnchor(claimed: Set<Int>): List<FencedOrder> {
+        val absent = (0 until size).singleOrNull { it !in claimed } ?: return emptyList()
+        val present = claimed.map { readings.getValue(it) }
+        val version = present.maxOf { it.preparedVersion }
+        val isAnchorUnarmed = anchorOf(version) == absent && present.all { it.mapVersion < version } && present.any { it.armed == null }
+        if (!isAnchorUnarmed || present.none { it.heldPass != null }) return emptyList()
+        val armed = present.filter { it.armed != null }
+        if (armed.isEmpty()) return releases(present)
+        return armed.map { FencedOrder.Disarm(it.rank, it.epoch, fence, version) }
+    }
+
     private fun unclaimed(claimed: Set<Int>) = readings.values.filter { it.rank !in claimed }
 
-    private fun disarms(now: MapPhase.Undoing): List<FencedOrder> =
-        unclaimed(now.disarmed).map { FencedOrder.Disarm(it.rank, it.epoch, fence, it.armed?.version ?: it.preparedVersion) }
+    /** The anchor of the change before all others. */
+    private fun disarms(now: MapPhase.Undoing): List<FencedOrder> {
+        val first = anchorOf(readings.values.maxOf { it.preparedVersion })
+        val (anchors, others) = unclaimed(now.disarmed).partition { it.rank == first }
+        return anchors.ifEmpty { others }.map { FencedOrder.Disarm(it.rank, it.epoch, fence, it.armed?.version ?: it.preparedVersion) }
+    }
 
-    private fun releases(): List<FencedOrder> =
-        readings.values.mapNotNull { reading -> reading.heldPass?.let { FencedOrder.Release(reading.rank, reading.epoch, fence, it) } }
+    private fun releases(ranks: Collection<RankReading> = readings.values): List<FencedOrder> =
+        ranks.mapNotNull { reading -> reading.heldPass?.let { FencedOrder.Release(reading.rank, reading.epoch, fence, it) } }
 
-    private fun isWholeAndOpen() =
-        readings.size == size && readings.values.all { it.isOpen } && readings.values
-            .map { it.epoch }
-            .toSet()
-            .size == 1
+    private fun isWholeAndOpen() = readings.size == size && isOpenInOneEpoch()
+
+    private fun isOpenButForOne() = readings.size == size - 1 && isOpenInOneEpoch()
+
+    private fun isOpenInOneEpoch() =
+        readings.values.all { it.isOpen } &&
+            readings.values
+                .map { it.epoch }
+                .toSet()
+                .size == 1
 
     private fun isOneMap() =
         readings.values
@@ -400,6 +436,11 @@
 
 private const val MAX_ADVANCES = 8
 
+// A version is a token and, in what is left of it, the rank that was the anchor.
+private const val MAX_RANKS = 1_024
+
+private fun anchorOf(version: Long): Int = (version % MAX_RANKS).toInt()
+
 /** Measures how long a pass takes. */
 private class PassClock {
     private var lastPass = 0L
--- a/core/src/test/kotlin/io/jaybeam/core/rankgroup/ArmedMapChangePropertiesTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/rankgroup/ArmedMapChangePropertiesTest.kt
@@ -11,6 +11,9 @@
 private const val STEPS = 1_500
 private const val CALM_STEPS = 3_000
 
+// Fates of orders: up to 5 carried out, 6 and 7 carried out late, 8 carried out with the answer lost, 9 lost.
+private const val LOST = 9
+
 /** A rank as the platform describes it. */
 private class SimulatedRank(
     val number: Int,
@@ -113,6 +116,11 @@
         nowMillis += random.nextLong(1, 60)
         val dice = random.nextInt(100)
         if (random.nextInt(50) == 0) slowToArm = random.nextInt(RANKS * 2)
+        if (isCalm) {
+            absent = null
+        } else if (random.nextInt(80) == 0) {
+            absent = random.nextInt(RANKS * 2)
+        }
         when {
             dice < 30 -> group.beginPassIfFree()
             isCalm || dice < 75 -> act(coordinators.last(), isCalm)
@@ -120,11 +128,19 @@
             dice < 95 -> late.randomOrNull(random)?.let { carryOutLate(it) }
             dice < 97 -> coordinators += coordinator()
             dice < 98 -> group.crash(random.nextInt(RANKS))
-            else -> group.ranks.random(random).let { coordinators.last().onReading(it.reading()) }
+            else -> group.ranks.random(random).let { if (isReached(it.number)) coordinators.last().onReading(it.reading()) }
         }
     }
 
-    private fun coordinator() = ArmedMapChange(RANKS, holder = random.nextInt(RANKS), firstFence = generation++ shl 20)
+    /** A rank that nobody reaches for a while, as its machine stands still. */
+    private var absent: Int? = null
+
+    private fun coordinator(): ArmedMapChange {
+        val anchor = random.nextInt(RANKS)
+        return ArmedMapChange(RANKS, holder = (anchor + 1) % RANKS, anchor, firstFence = generation++ shl 20)
+    }
+
+    private fun isReached(rank: Int) = rank != absent
 
     private fun carryOutLate(order: FencedOrder) {
         late -= order
@@ -135,9 +151,9 @@
         if (isCalm ||
             random.nextBoolean()
         ) {
-            group.ranks.filter { isCalm || random.nextInt(4) > 0 }.forEach { coordinator.onReading(it.reading()) }
+            group.ranks.filter { isCalm || (isReached(it.number) && random.nextInt(4) > 0) }.forEach { coordinator.onReading(it.reading()) }
         }
-        if (coordinator.isSettled && random.nextInt(3) == 0) coordinator.propose(coordinator.fence + 1, nowMillis)
+        if (coordinator.isSettled && random.nextInt(3) == 0) coordinator.propose(nowMillis)
         coordinator.ordersDue(nowMillis).shuffled(random).forEach { deliver(coordinator, it, isCalm) }
     }
 
@@ -147,6 +163,8 @@
         val fate =
             if (isCalm) {
                 0
+            } else if (!isReached(order.rank)) {
+                LOST
             } else if (order is FencedOrder.Arm && order.rank == slowToArm) {
                 7
             } else {
@@ -204,6 +222,55 @@
         )
     }
 
+    @Test
+    fun `a pass that a frozen coordinator held is released without the rank on its machine`() {
+        for (armedRanks in 0 until RANKS - 1) {
+            val group = SimulatedGroup()
+            val frozen = ArmedMapChange(RANKS, holder = 1, anchor = 0, firstFence = 1L shl 20)
+            val late = mutableListOf<FencedOrder>()
+            freezeWhileArming(frozen, group, armedRanks, late)
+            repeat(3) { group.beginPassIfFree() }
+            assertEquals(1, group.mapsOfPasses.size, "the pass is not held")
+
+            val next = ArmedMapChange(RANKS, holder = 3, anchor = 2, firstFence = 2L shl 20)
+            repeat(8) { round(next, group.ranks.drop(1)) }
+            late.forEach { group.ranks[it.rank].carryOut(it) }
+            repeat(3) { group.beginPassIfFree() }
+            assertEquals(4, group.mapsOfPasses.size, "$armedRanks ranks were armed: ${next.phase}")
+            // The frozen machine is back, with orders that were under way.
+            repeat(8) { round(next, group.ranks) }
+            assertTrue(next.isSettled, "${next.phase}")
+            assertEquals(emptyList(), group.mapsOfPasses.filter { it.size > 1 })
+        }
+    }
+
+    /** Lets [coordinator] begin a change and arm [armedRanks] ranks; orders beyond that are [late]. */
+    private fun freezeWhileArming(
+        coordinator: ArmedMapChange,
+        group: SimulatedGroup,
+        armedRanks: Int,
+        late: MutableList<FencedOrder>,
+    ) {
+        repeat(3) { round(coordinator, group.ranks) }
+        group.beginPassIfFree()
+        coordinator.propose(0)
+        repeat(3) { round(coordinator, group.ranks) { it !is FencedOrder.Arm } }
+        coordinator.ordersDue(0).filterIsInstance<FencedOrder.Arm>().sortedBy { it.rank }.forEachIndexed { index, order ->
+            if (index < armedRanks) group.ranks[order.rank].carryOut(order) else late += order
+        }
+        assertTrue(group.ranks.first().armed == null, "the anchor is armed before the others")
+        while (group.ranks[1].held?.let { group.lastPass + 1 < it } == true) group.lastPass += 1
+    }
+
+    private fun round(coordinator: ArmedMapChange, reached: List<SimulatedRank>, isSent: (FencedOrder) -> Boolean = { true }) {
+        reached.forEach { coordinator.onReading(it.reading()) }
+        coordinator.ordersDue(0).filter { order -> isSent(order) && reached.any { it.number == order.rank } }.forEach { order ->
+            val rank = reached.first { it.number == order.rank }
+            val outcome = rank.carryOut(order)
+            coordinator.onReply(OrderReply(order, outcome, rank.reading()))
+        }
+    }
+
     @Test
     fun `the worlds change maps and give changes up`() {
         val worlds = (1L..20L).map { seed -> MapWorld(Random(seed)).also { world -> repeat(STEPS) { world.step(isCalm = false) } } }
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
@@ -16,9 +16,13 @@
 import io.jaybeam.wire.LinkRuntime
 import kotlin.concurrent.thread
 
-// A coordinator that is gone is replaced after the lifetime; three joins fit into one.
-private const val LIFETIME_MILLIS = 2_000L
-private const val JOIN_MILLIS = 650L
+// A coordinator that is gone is replaced after the lifetime, the shortest that the platform takes; a frozen one may have
+// left the group with a pass on hold. Three joins fit into one lifetime.
+private const val LIFETIME_MILLIS = 1_000L
+private const val JOIN_MILLIS = 300L
+
+// The coordinator says something at least each half second.
+private const val SILENT_COORDINATOR_MILLIS = 800L
 private const val GROUP_UNKNOWN_MILLIS = 100L
 
 // A change of membership takes effect when all members have joined under the new generation.
@@ -46,6 +50,9 @@
     @Volatile
     private var link: Link? = null
 
+    @Volatile
+    private var heardAtNanos = 0L
+
     @Volatile
     private var isConnecting = false
 
@@ -92,6 +99,7 @@
                     )
                 }
                 hasGenerationChanged = term.generation != generation
+                if (hasGenerationChanged) leaveSilentCoordinator()
                 isMine = term.isMine
                 generation = term.generation
                 coordinator.tell(CoordinatorMessage.Term(term.generation.takeIf { term.isMine }))
@@ -100,6 +108,12 @@
         if (link?.isOpen != true && !isConnecting) connect(topic)
     }
 
+    /** A frozen coordinator keeps its links open. */
+    private fun leaveSilentCoordinator() {
+        if (System.nanoTime() - heardAtNanos < SILENT_COORDINATOR_MILLIS * NANOS_PER_MILLI) return
+        link?.close("silent, and the members of the group have changed")
+    }
+
     private fun connect(topic: String) {
         val peer = if (isMine) address else store.coordinator(topic).fold({ storeLost(it).let { null } }, { it }) ?: return
         isConnecting = true
@@ -109,6 +123,7 @@
             OrdersHandler(),
             onConnected = { opened ->
                 link = opened
+                heardAtNanos = System.nanoTime()
                 isConnecting = false
                 events.write(LogEvent.LINK_OPENED, LogField("peer", "$peer"))
                 watch.tell(WatchMessage.Coordinator(opened))
@@ -133,6 +148,7 @@
 
     private inner class OrdersHandler : LinkHandler {
         override fun onFrame(link: Link, frame: Frame) {
+            heardAtNanos = System.nanoTime()
             when (frame) {
                 is Frame.RankOrder ->
                     if (!watch.tell(
--- a/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
@@ -6,6 +6,7 @@
 
 import io.jaybeam.core.fleet.EngineModel
 import io.jaybeam.core.fleet.FleetStore
+import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.InstanceSettings
 import io.jaybeam.core.fleet.OperatorNotice
 import io.jaybeam.core.placement.GroupDemand
@@ -18,6 +19,8 @@
 import io.jaybeam.core.rankgroup.FencedOrder
 import io.jaybeam.core.rankgroup.MapPhase
 import io.jaybeam.core.rankgroup.OrderReply
+import io.jaybeam.core.rankgroup.RankPort
+import io.jaybeam.core.rankgroup.RankStatus
 import io.jaybeam.runtime.DutyThread
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
@@ -37,6 +40,10 @@
 // An order that was not answered is given again after this time.
 private const val REPEAT_MILLIS = 500L
 
+// Sides report at least each 120 ms; one that missed two reports may be frozen or gone, and its rank is reached directly.
+private const val SILENT_MILLIS = 300L
+private const val READ_SILENT_MILLIS = 200L
+
 // Tokens of one term; a term makes a few for each change.
 private const val FENCE_BITS = 20
 
@@ -58,6 +65,12 @@
         val frame: Frame.RankReport,
     ) : CoordinatorMessage()
 
+    /** A rank was read at [address] without its side. */
+    data class Read(
+        val address: HostPort,
+        val status: RankStatus,
+    ) : CoordinatorMessage()
+
     /** A rank answered an order. */
     data class Reply(
         val frame: Frame.RankReply,
@@ -76,9 +89,23 @@
     val policy: GroupPlacementPolicy,
 )
 
+/**
+ * What is known of how to reach a rank.
+ *
+ * @property link to its side; null if its side has not reported.
+ * @property experts those of the map in use; null where they are not known.
+ * @property heardAtMillis when its side last said something.
+ */
 private class RankPeer(
-    val link: Link,
+    val address: HostPort,
+    val link: Link?,
     val experts: List<List<Int>>?,
+    val heardAtMillis: Long,
+)
+
+private data class SentOrder(
+    val order: FencedOrder,
+    val isRemote: Boolean,
 )
 
 /** Coordinates a group, on a thread of its own and one for planning. */
@@ -86,6 +113,7 @@
     private val store: FleetStore,
     private val settings: InstanceSettings,
     private val ownRank: () -> Int?,
+    rankAt: (HostPort) -> RankPort,
     private val events: EventLog,
     private val nowMillis: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
 ) : AutoCloseable {
@@ -93,20 +121,25 @@
     private val planner = DutyThread<PlanRequest>("planner", 1, PLANNER_TICK_MILLIS, events, ::plan) {}
     private val window = DemandWindow(WINDOW_MILLIS)
     private val peers = HashMap<Int, RankPeer>()
-    private val sentAtMillis = HashMap<FencedOrder, Long>()
+    private val sentAtMillis = HashMap<SentOrder, Long>()
+    private val remote = RemoteRanks(store, settings.targetService, rankAt, events) { tell(it) }
     private var generation: Long? = null
     private var deposedGeneration = 0L
     private var change: ArmedMapChange? = null
     private var engine: EngineModel? = null
     private var proposed: GroupMap? = null
+    private var proposedVersion = 0L
     private var isPlanning = false
     private var loggedPhase: String = ""
     private var heartbeatAtMillis = 0L
     private var plannedAtMillis = 0L
+    private var begunAtMillis = 0L
+    private var readAtMillis = 0L
 
     fun start() {
         duty.start()
         planner.start()
+        remote.start()
     }
 
     /** Tells the coordinator something; drops it if the coordinator is too busy, since reports are repeated. */
@@ -114,6 +147,7 @@
 
     override fun close() {
         planner.close()
+        remote.close()
         duty.close()
     }
 
@@ -138,6 +172,7 @@
         when (message) {
             is CoordinatorMessage.Term -> onTerm(message.generation)
             is CoordinatorMessage.Report -> onReport(message)
+            is CoordinatorMessage.Read -> onRead(message)
             is CoordinatorMessage.Reply -> onReply(message.frame)
             is CoordinatorMessage.Planned -> onPlanned(message)
         }
@@ -148,7 +183,7 @@
         if (next == null) {
             change = null
             // Sides look for the new coordinator when the link to this one is gone.
-            peers.values.forEach { it.link.close("another process coordinates the group") }
+            peers.values.forEach { it.link?.close("another process coordinates the group") }
             peers.clear()
         }
     }
@@ -159,7 +194,8 @@
         val rank = report.reading.rank
         val known = peers[rank]
         val isSameMap = change?.known?.get(rank)?.mapVersion == report.reading.mapVersion
-        peers[rank] = RankPeer(message.link, report.experts ?: known?.experts?.takeIf { known.link === message.link && isSameMap })
+        val experts = report.experts ?: known?.experts?.takeIf { known.link === message.link && isSameMap }
+        peers[rank] = RankPeer(report.address, message.link, experts, nowMillis())
         if (change == null) begin(report)
         change?.onReading(report.reading)
         window.add(report.demand, nowMillis())
@@ -168,13 +204,24 @@
 
     private fun begin(report: Frame.RankReport) {
         val term = generation?.takeIf { it > deposedGeneration } ?: return
-        // Orders reach the own rank soonest, so that is where passes are held.
-        val holder = ownRank() ?: return
-        change = ArmedMapChange(report.groupSize, holder, term shl FENCE_BITS)
+        val anchor = ownRank() ?: return
+        change = ArmedMapChange(report.groupSize, holder = (anchor + 1) % report.groupSize, anchor, term shl FENCE_BITS)
         engine = readEngine()
+        begunAtMillis = nowMillis()
         window.clear()
     }
 
+    private fun onRead(message: CoordinatorMessage.Read) {
+        val now = change ?: return
+        val rank = message.status.reading.rank
+        val known = peers[rank]
+        if (known == null) peers[rank] = RankPeer(message.address, null, null, 0)
+        // What the rank's own side says is fresher.
+        if (known != null && !isSilent(known)) return
+        now.onReading(message.status.reading)
+        act()
+    }
+
     private fun readEngine(): EngineModel? =
         store.newestOperator().fold(
             { fault ->
@@ -192,7 +239,8 @@
         )
 
     private fun onReply(frame: Frame.RankReply) {
-        sentAtMillis.remove(frame.order)
+        sentAtMillis.remove(SentOrder(frame.order, isRemote = true))
+        sentAtMillis.remove(SentOrder(frame.order, isRemote = false))
         val now = change ?: return
         now.onReply(OrderReply(frame.order, frame.outcome, frame.reading))
         act()
@@ -211,19 +259,40 @@
             LogField("tookMillis", "${message.tookMillis}"),
         )
         proposed = plan.map
-        now.propose(now.fence + 1, nowMillis())
+        proposedVersion = now.propose(nowMillis())
         act()
     }
 
     private fun onTick() {
         val now = nowMillis()
-        if (generation != null && now - heartbeatAtMillis >= HEARTBEAT_MILLIS) {
+        if (generation != null && now - heartbeatAtMillis >= HEARTBEAT_MILLIS / 2) {
             heartbeatAtMillis = now
-            peers.values.forEach { it.link.send(Frame.Heartbeat(0)) }
+            peers.values.forEach { it.link?.send(Frame.Heartbeat(0)) }
         }
+        readSilentRanks(now)
         act()
     }
 
+    /** Reads ranks without their sides where a change waits for them, or where they are not known at all. */
+    private fun readSilentRanks(now: Long) {
+        val group = change ?: return
+        if (now - readAtMillis < READ_SILENT_MILLIS || now - begunAtMillis < SILENT_MILLIS) return
+        val isMissing = group.known.size < group.size
+        val silent = peers.values.filter(::isSilent).map { it.address }
+        if (!isMissing && (silent.isEmpty() || group.isSettled)) return
+        readAtMillis = now
+        remote.read(
+            silent,
+            known =
+                peers.values
+                    .map { it.address }
+                    .toSet()
+                    .takeIf { isMissing },
+        )
+    }
+
+    private fun isSilent(peer: RankPeer) = nowMillis() - peer.heardAtMillis > SILENT_MILLIS
+
     /** Gives the orders that are due and asks for a plan where the group is settled. */
     private fun act() {
         val now = change ?: return
@@ -238,14 +307,19 @@
     }
 
     private fun send(order: FencedOrder) {
-        val sent = sentAtMillis[order]
+        val peer = peers[order.rank] ?: return
+        // A pass is held from here, so that the machine that may freeze with it is this one and not the holder's.
+        val key = SentOrder(order, isRemote = order is FencedOrder.Hold || isSilent(peer))
+        val sent = sentAtMillis[key]
         if (sent != null && nowMillis() - sent < REPEAT_MILLIS) return
-        sentAtMillis[order] = nowMillis()
-        peers[order.rank]?.link?.send(Frame.RankOrder(order, proposed.takeIf { order is FencedOrder.Prepare }))
+        sentAtMillis[key] = nowMillis()
+        val map = proposed.takeIf { order is FencedOrder.Prepare }
+        if (key.isRemote) remote.give(peer.address, order, map) else peer.link?.send(Frame.RankOrder(order, map))
     }
 
     private fun askForPlan(now: ArmedMapChange) {
         val model = engine ?: return
+        noteExpertsOfNewMap(now)
         val experts =
             now.known.keys
                 .sorted()
@@ -258,6 +332,16 @@
         isPlanning = planner.offer(PlanRequest(mapOfRanks(experts, model.slotsPerRank), demand, policy))
     }
 
+    /** A map that is in use as it was proposed need not be read from the ranks. */
+    private fun noteExpertsOfNewMap(now: ArmedMapChange) {
+        val map = proposed ?: return
+        if (now.mapVersion != proposedVersion) return
+        peers.entries.filter { it.value.experts == null }.forEach { (rank, peer) ->
+            val experts = map.sets.indices.map { map.expertsOf(it, rank).distinct() }
+            peers[rank] = RankPeer(peer.address, peer.link, experts, peer.heardAtMillis)
+        }
+    }
+
     private fun plan(request: PlanRequest) {
         val begun = nowMillis()
         val plan = planGroupPlacement(request.map, request.demand, request.policy)
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RankSide.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RankSide.kt
@@ -5,6 +5,7 @@
 package io.jaybeam.side.rank
 
 import io.jaybeam.core.fleet.FleetStore
+import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.InstanceSettings
 import io.jaybeam.core.rankgroup.RankPort
 import io.jaybeam.platform.httpRankPort
@@ -19,20 +20,21 @@
 /** Returns the side process that [settings] describe. */
 internal fun rankSide(settings: InstanceSettings): ServingProcess {
     val target = checkNotNull(settings.target) { "settings name no target; a side process runs on a target's machine only" }
-    return RankSide(settings, platformStore(settings.store), httpRankPort(target), Clock.System)
+    return RankSide(settings, platformStore(settings.store), httpRankPort(target), Clock.System, ::httpRankPort)
 }
 
-/** The side process of one rank. */
+/** The side process of one rank; [rankAt] reaches the ranks of other sides. */
 internal class RankSide(
     private val settings: InstanceSettings,
     store: FleetStore,
     rank: RankPort,
     clock: Clock,
+    rankAt: (HostPort) -> RankPort,
 ) : ServingProcess {
     private val events = EventLog(settings.instance, clock)
     private val links = LinkRuntime()
-    private val watch = RankWatch(rank, events)
-    private val coordinator = MapCoordinator(store, settings, { watch.rankNumber }, events)
+    private val watch = RankWatch(rank, checkNotNull(settings.target), events)
+    private val coordinator = MapCoordinator(store, settings, { watch.rankNumber }, rankAt, events)
     private val election = CoordinatorElection(settings.peers, store, links, watch, coordinator, events)
 
     override fun start() {
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RankWatch.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RankWatch.kt
@@ -3,6 +3,7 @@
  */
 package io.jaybeam.side.rank
 
+import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.rankgroup.ExpertCounts
 import io.jaybeam.core.rankgroup.FencedOrder
 import io.jaybeam.core.rankgroup.OrderOutcome
@@ -15,11 +16,14 @@
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 
-// A new demand is to be seen within half a second; reading the own rank is free.
-private const val REPORT_MILLIS = 200L
+// A shift of demand shows in the second report after it; reading the own rank is free but for processor time.
+private const val REPORT_MILLIS = 120L
 
-// Weights that are being copied are there within a second or so, and the change waits for the last rank.
-private const val COPY_REPORT_MILLIS = 60L
+// A change of map waits for the last rank at each of its steps, so reports come faster until the map is in use.
+private const val CHANGE_REPORT_MILLIS = 50L
+
+// A change that takes longer has been given up.
+private const val CHANGE_MILLIS = 2_000L
 private const val TICK_MILLIS = 30L
 private const val QUEUED_ORDERS = 64
 
@@ -40,6 +44,7 @@
 /** Watches one rank, on a thread of its own. */
 internal class RankWatch(
     private val rank: RankPort,
+    private val address: HostPort,
     private val events: EventLog,
     private val nanoTime: () -> Long = System::nanoTime,
 ) : AutoCloseable {
@@ -48,7 +53,8 @@
     private var lastCounts: ExpertCounts? = null
     private var reportedMap: Long? = null
     private var nextReportNanos = 0L
-    private var isCopying = false
+    private var changingUntilNanos = nanoTime()
+    private var mapBeforeChange = 0L
     private var isUnreadable = false
 
     /** Name of the rank's group; null until the rank was read. */
@@ -85,7 +91,11 @@
     private fun carryOut(message: WatchMessage.Order) {
         val order = message.frame.order
         val outcome = rank.give(order, message.frame.map)
-        if (outcome == OrderOutcome.ACCEPTED && order is FencedOrder.Prepare) isCopying = true
+        if (outcome == OrderOutcome.ACCEPTED &&
+            order is FencedOrder.Prepare
+        ) {
+            changingUntilNanos = nanoTime() + CHANGE_MILLIS * NANOS_PER_MILLI
+        }
         val status = statusOrNull()
         message.link.send(Frame.RankReply(order, outcome, status?.reading))
         if (outcome !=
@@ -97,13 +107,15 @@
 
     private fun onTick() {
         if (nanoTime() < nextReportNanos) return
-        nextReportNanos = nanoTime() + (if (isCopying) COPY_REPORT_MILLIS else REPORT_MILLIS) * NANOS_PER_MILLI
+        val isChanging = nanoTime() < changingUntilNanos
+        nextReportNanos = nanoTime() + (if (isChanging) CHANGE_REPORT_MILLIS else REPORT_MILLIS) * NANOS_PER_MILLI
         val status = statusOrNull() ?: return
         val reading = status.reading
-        if (reading.armed != null || reading.preparedVersion == reading.mapVersion) isCopying = false
+        if (isChanging && reading.mapVersion > mapBeforeChange) changingUntilNanos = nanoTime()
+        if (!isChanging) mapBeforeChange = reading.mapVersion
         val open = link?.takeIf { it.isOpen } ?: return
         val experts = if (reportedMap == reading.mapVersion) null else expertsOrNull(reading.mapVersion)
-        open.send(Frame.RankReport(reading, status.groupSize, demandSinceLast(), experts))
+        open.send(Frame.RankReport(reading, status.groupSize, demandSinceLast(), experts, address))
         if (experts != null) reportedMap = reading.mapVersion
     }
 
--- /dev/null
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RemoteRanks.kt
@@ -0,0 +1,102 @@
+/*
+ * Reaches ranks without their sides: a side that is frozen or gone must not keep the whole group waiting. The platform
+ * prices such calls, so they are made only for ranks whose sides are silent.
+ */
+package io.jaybeam.side.rank
+
+import io.jaybeam.core.fleet.FleetStore
+import io.jaybeam.core.fleet.HostPort
+import io.jaybeam.core.fleet.TargetNotice
+import io.jaybeam.core.placement.GroupMap
+import io.jaybeam.core.rankgroup.FencedOrder
+import io.jaybeam.core.rankgroup.RankPort
+import io.jaybeam.runtime.DutyThread
+import io.jaybeam.runtime.observe.EventLog
+import io.jaybeam.runtime.observe.LogEvent
+import io.jaybeam.runtime.observe.LogField
+import io.jaybeam.wire.Frame
+
+// Orders to all ranks of a group of 64, a few times over.
+private const val QUEUED_CALLS = 256
+private const val TICK_MILLIS = 1_000L
+
+/** One call to be made. */
+internal sealed class RemoteCall {
+    /** Read the ranks at [silent], and all targets but those in [known] unless that is null. */
+    data class Read(
+        val silent: List<HostPort>,
+        val known: Set<HostPort>?,
+    ) : RemoteCall()
+
+    /** Give an order. */
+    data class Give(
+        val address: HostPort,
+        val order: FencedOrder,
+        val map: GroupMap?,
+    ) : RemoteCall()
+}
+
+/** Calls ranks from afar, on a thread of its own; what they answer goes to [tell]. */
+internal class RemoteRanks(
+    private val store: FleetStore,
+    private val service: String?,
+    private val rankAt: (HostPort) -> RankPort,
+    private val events: EventLog,
+    private val tell: (CoordinatorMessage) -> Unit,
+) : AutoCloseable {
+    private val ports = HashMap<HostPort, RankPort>()
+    private val duty = DutyThread<RemoteCall>("remote-ranks", QUEUED_CALLS, TICK_MILLIS, events, ::make) {}
+
+    fun start() = duty.start()
+
+    override fun close() = duty.close()
+
+    /** Reads the ranks at [silent], and those that are in the store but not in [known] unless that is null. */
+    fun read(silent: List<HostPort>, known: Set<HostPort>?) {
+        // With calls still waiting, the next round will do.
+        if (duty.backlog == 0) duty.offer(RemoteCall.Read(silent, known))
+    }
+
+    /** Gives [order] to the rank at [address]; dropped where too many calls wait, as orders are repeated. */
+    fun give(address: HostPort, order: FencedOrder, map: GroupMap?) {
+        duty.offer(RemoteCall.Give(address, order, map))
+    }
+
+    private fun make(call: RemoteCall) =
+        when (call) {
+            is RemoteCall.Read -> (call.silent + call.known?.let(::targetsBeside).orEmpty()).forEach(::readOne)
+            is RemoteCall.Give -> giveOne(call)
+        }
+
+    private fun targetsBeside(known: Set<HostPort>): List<HostPort> =
+        store.newestTargets().fold(
+            { fault ->
+                events.write(LogEvent.STORE_LOST, LogField("follower", "remote-ranks"), LogField("detail", fault.detail))
+                emptyList()
+            },
+            { page ->
+                page.notices
+                    .filterIsInstance<TargetNotice.Announced>()
+                    .filter { it.target.service == service }
+                    .map { HostPort(it.target.host, it.target.port) }
+                    .filter { it !in known }
+            },
+        )
+
+    private fun readOne(address: HostPort) {
+        portAt(address).status().fold(
+            { events.write(LogEvent.RANK_UNREADABLE, LogField("address", "$address"), LogField("detail", it.detail)) },
+            { tell(CoordinatorMessage.Read(address, it)) },
+        )
+    }
+
+    private fun giveOne(call: RemoteCall.Give) {
+        val outcome = portAt(call.address).give(call.order, call.map)
+        val reading = portAt(call.address).status().fold({ null }, { it.reading })
+        val order = LogField("order", "${call.order}")
+        events.write(LogEvent.RANK_ORDER, LogField("address", "${call.address}"), order, LogField("outcome", outcome.name))
+        tell(CoordinatorMessage.Reply(Frame.RankReply(call.order, outcome, reading)))
+    }
+
+    private fun portAt(address: HostPort) = ports.getOrPut(address) { rankAt(address) }
+}
--- a/side/src/test/kotlin/io/jaybeam/side/rank/RankSideTest.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/RankSideTest.kt
@@ -1,7 +1,6 @@
 package io.jaybeam.side.rank
 
 import arrow.core.Either
-import arrow.core.left
 import arrow.core.right
 import io.jaybeam.core.fleet.CallerLimits
 import io.jaybeam.core.fleet.CoordinatorTerm
@@ -9,6 +8,7 @@
 import io.jaybeam.core.fleet.FleetBounds
 import io.jaybeam.core.fleet.FleetConfig
 import io.jaybeam.core.fleet.FleetStore
+import io.jaybeam.core.fleet.FleetTarget
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.InstanceSettings
 import io.jaybeam.core.fleet.LogPage
@@ -39,8 +39,11 @@
 private const val SLOTS = 3
 private const val HOST = "127.0.0.1"
 private const val PASS_MILLIS = 15L
+private const val FIRST_TARGET_PORT = 20_000
 private const val SETTLE_MILLIS = 15_000L
 
+private fun targetAddress(rank: Int) = HostPort(HOST, FIRST_TARGET_PORT + rank)
+
 /** A group of ranks in this process that makes passes while it is not held. */
 private class InProcessGroup : AutoCloseable {
     val ranks = List(RANKS) { InProcessRank(it, this) }
@@ -140,6 +143,27 @@
     }
 }
 
+/** A rank's port on its own machine, which stands still while it is frozen, as a frozen side process does. */
+private class FreezablePort(
+    private val rank: RankPort,
+) : RankPort {
+    @Volatile
+    var isFrozen = false
+
+    override fun status() = thawed { rank.status() }
+
+    override fun counts() = thawed { rank.counts() }
+
+    override fun experts() = thawed { rank.experts() }
+
+    override fun give(order: FencedOrder, map: GroupMap?) = thawed { rank.give(order, map) }
+
+    private fun <T> thawed(call: () -> T): T {
+        while (isFrozen) Thread.sleep(PASS_MILLIS)
+        return call()
+    }
+}
+
 /** A store whose coordinator is the candidate that joined first of those that still join. */
 private class InProcessStore : FleetStore {
     private val joinedAtMillis = linkedMapOf<HostPort, Long>()
@@ -184,7 +208,16 @@
         return LogPage(listOf(OperatorNotice.Published(config)), 1, emptyList()).right()
     }
 
-    override fun newestTargets(): Either<StoreFault, LogPage<TargetNotice>> = StoreFault.Refused("not asked here").left()
+    override fun newestTargets(): Either<StoreFault, LogPage<TargetNotice>> =
+        LogPage(
+            (0 until RANKS).map {
+                val address = targetAddress(it)
+                val target = FleetTarget("t$it", "pool", address.host, address.port, "north", 8, false, 0, 0)
+                TargetNotice.Announced(target)
+            },
+            1,
+            emptyList(),
+        ).right()
 
     override fun targetsFrom(position: Long): Either<StoreFault, LogPage<TargetNotice>> = newestTargets()
 
@@ -194,7 +227,8 @@
 internal class RankSideTest {
     private val group = InProcessGroup()
     private val store = InProcessStore()
-    private val sides = group.ranks.map { rank -> settings().let { it.peers to RankSide(it, store, rank, Clock.System) } }
+    private val ports = group.ranks.map { FreezablePort(it) }
+    private val sides = ports.indices.map { number -> settings(number).let { it.peers to side(it, number) } }
 
     @AfterTest
     fun close() {
@@ -210,8 +244,9 @@
         val coordinator = checkNotNull(store.coordinator)
         sides.first { it.first == coordinator }.second.stop()
         // Its rank is not reported any more until its side is back.
-        val (address, rank) = sides.indexOfFirst { it.first == coordinator }.let { sides[it].first to group.ranks[it] }
-        val replacement = RankSide(settings(), store, rank, Clock.System)
+        val number = sides.indexOfFirst { it.first == coordinator }
+        val address = sides[number].first
+        val replacement = side(settings(number), number)
         replacement.start()
         group.demand = listOf(10, 10, 10, 10, 80, 90)
         awaitMapAfter(first)
@@ -220,6 +255,22 @@
         assertEquals(emptyList(), synchronized(group) { group.mapsOfPasses.filter { it.size > 1 } })
     }
 
+    @Test
+    fun `the map follows demand while the side of a rank is frozen`() {
+        sides.forEach { (_, side) -> side.start() }
+        group.demand = listOf(90, 80, 10, 10, 10, 10)
+        val first = awaitMapAfter(0)
+        val frozen = ports[sides.indexOfFirst { it.first != store.coordinator }]
+        frozen.isFrozen = true
+        group.demand = listOf(10, 10, 10, 10, 80, 90)
+        awaitMapAfter(first)
+        frozen.isFrozen = false
+        assertEquals(emptyList(), synchronized(group) { group.mapsOfPasses.filter { it.size > 1 } })
+    }
+
+    private fun side(settings: InstanceSettings, number: Int) =
+        RankSide(settings, store, ports[number], Clock.System) { address -> group.ranks[address.port - FIRST_TARGET_PORT] }
+
     private fun awaitMapAfter(version: Long): Long {
         val until = System.nanoTime() + SETTLE_MILLIS * NANOS_PER_MILLI
         while (System.nanoTime() < until) {
@@ -229,9 +280,21 @@
         error("no map after $version within $SETTLE_MILLIS ms; ranks are at ${group.ranks.map { it.map }}")
     }
 
-    private fun settings(): InstanceSettings {
+    private fun settings(number: Int): InstanceSettings {
         val address = HostPort(HOST, ServerSocket(0).use { it.localPort })
         val bounds = FleetBounds(graceMillis = 0, retryPercent = 0, retrySlack = 0, retryWindowMillis = 1, fencing = true)
-        return InstanceSettings("side-${address.port}", "north", HOST, null, null, address, emptyList(), null, "pool", address, bounds)
+        return InstanceSettings(
+            "side-${address.port}",
+            "north",
+            HOST,
+            null,
+            null,
+            address,
+            emptyList(),
+            targetAddress(number),
+            "pool",
+            address,
+            bounds,
+        )
     }
 }
--- a/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
@@ -23,7 +23,7 @@
 import kotlinx.serialization.cbor.CborLabel
 
 /** Version of this protocol; peers of another version are refused. */
-public const val PROTOCOL_VERSION: Int = 3
+public const val PROTOCOL_VERSION: Int = 4
 
 /** One HTTP header. */
 @Serializable
@@ -193,7 +193,8 @@
      * State of a rank and the demand that it saw since its last report.
      *
      * [demand] counts choices of each expert, all sets one after the other; empty where it was not read. [experts] are
-     * those of the map in use, by set; null unless the map changed or the coordinator is new.
+     * those of the map in use, by set; null unless the map changed or the coordinator is new. [address] is the rank's
+     * own, at which it can be reached without its side.
      */
     @Serializable
     @SerialName("rr")
@@ -202,6 +203,7 @@
         @CborLabel(2) val groupSize: Int,
         @CborLabel(3) val demand: List<Int>,
         @CborLabel(4) val experts: List<List<Int>>?,
+        @CborLabel(5) val address: HostPort,
     ) : Frame()
 
     /** Asks the side to give [order] to its rank; [map] goes with an order that prepares it. */
