--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/GroupPlacementBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/GroupPlacementBenchmark.kt
@@ -56,6 +56,25 @@
     val header =
         listOf("policy", "mean skew", "from the 2nd second after a shift", "worst of these", "changes", "experts loaded", "ms a plan")
     printTable("expert maps of a group, ${demand.size} seconds", header, policies.map { row(it, demand) })
+    val firstHeader = listOf("new experts a rank", "mean skew after the first change that follows a shift", "worst", "experts loaded")
+    printTable("first change after a shift", firstHeader, (1..SPARE * SETS).map { firstChangeRow(it, demand) })
+}
+
+/** A change with few new experts is in force sooner, as ranks load them one after the other. */
+private fun firstChangeRow(newPerRank: Int, demand: List<GroupDemand>): List<String> {
+    val settle = GroupPlacementPolicy(SPARE, SPARE * SETS, 1.02, 1.02)
+    var map: GroupMap = dealtMap(SETS, EXPERTS, RANKS, SLOTS_PER_RANK)
+    val skews = mutableListOf<Double>()
+    var loaded = 0
+    demand.forEachIndexed { second, now ->
+        if (second > 0 && similarity(demand[second - 1], now) < SAME_DEMAND) {
+            val plan = planGroupPlacement(map, now, GroupPlacementPolicy(SPARE, newPerRank, 1.25, 1.15))
+            skews += plan?.skewAfter ?: groupSkew(map, now)
+            loaded += plan?.expertsLoaded ?: 0
+        }
+        planGroupPlacement(map, now, settle)?.let { map = it.map }
+    }
+    return listOf("$newPerRank", format(skews.average()), format(skews.max()), "$loaded")
 }
 
 private fun row(policy: GroupPolicy, demand: List<GroupDemand>): List<String> {
--- a/core/src/main/kotlin/io/jaybeam/core/admission/StreamAdmission.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/StreamAdmission.kt
@@ -11,13 +11,13 @@
 import io.jaybeam.core.fleet.EngineModel
 
 // Passes grow by 15% while weights are copied, and by as much again with the prompts that are being read.
-private const val TARGET_SHARE_OF_GAP = 0.8
+private const val TARGET_SHARE_OF_GAP = 0.75
 
 // Above this share of the accepted gap, prompts are handed over one after the other.
 private const val PACED_SHARE_OF_GAP = 0.6
 
 // One new prompt in each pass for so many running streams: each prompt lengthens the pass in which it is read.
-private const val STREAMS_PER_NEW_PROMPT = 8
+private const val STREAMS_PER_NEW_PROMPT = 12
 
 // With fewer, the pace says more about other instances' streams than about this one's.
 private const val MIN_STREAMS = 3
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/FleetConfig.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/FleetConfig.kt
@@ -106,6 +106,7 @@
  * @property expertMegabytes bytes of one expert's weights, in megabytes.
  * @property expertShare share of a step's time per request that goes to experts, 0 to 1.
  * @property usualAnswerTokens mean length of an answer.
+ * @property weightMegabitsPerSecond speed at which a rank loads weights.
  * @property reportLagMillis how old a target's report may be when it is read from another machine.
  */
 @Serializable
@@ -121,8 +122,20 @@
     val expertMegabytes: Double,
     val expertShare: Double,
     val usualAnswerTokens: Int,
+    val weightMegabitsPerSecond: Double,
     val reportLagMillis: Long,
-)
+) {
+    /** Returns how many experts a rank loads in [millis], at least one. */
+    public fun expertsLoadedIn(millis: Long): Int {
+        val millisPerExpert = expertMegabytes * BITS_PER_BYTE / weightMegabitsPerSecond * MILLIS_PER_SECOND
+        return if (millisPerExpert > 0) maxOf((millis / millisPerExpert).toInt(), 1) else Int.MAX_VALUE
+    }
+
+    private companion object {
+        const val BITS_PER_BYTE = 8
+        const val MILLIS_PER_SECOND = 1_000
+    }
+}
 
 /** A customer of the operator and the keys that name it. */
 @Serializable
--- a/core/src/main/kotlin/io/jaybeam/core/rankgroup/ArmedMapChange.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/rankgroup/ArmedMapChange.kt
@@ -195,7 +195,7 @@
  * @property armMillis time after which a change that is not armed everywhere is given up.
  */
 public data class MapTiming(
-    val leadMillis: Long = 60,
+    val leadMillis: Long = 30,
     val prepareMillis: Long = 6_000,
     val armMillis: Long = 600,
 )
@@ -321,7 +321,7 @@
 
     private fun advancePreparing(now: MapPhase.Preparing, nowMillis: Long) {
         if (readings.values.all { it.preparedVersion == now.version }) {
-            val pass = readings.values.maxOf { it.lastPass } + passClock.passesIn(timing.leadMillis) + 2
+            val pass = readings.values.maxOf { it.lastPass } + passClock.passesToSkip(timing.leadMillis, nowMillis) + 1
             phase = MapPhase.Holding(now.version, pass, nowMillis)
         } else if (nowMillis - now.sinceMillis > timing.prepareMillis) {
             phase = MapPhase.Settled
@@ -458,8 +458,13 @@
         atMillis = nowMillis
     }
 
-    /** Returns how many passes begin within [millis], at the pace of the last ones. */
-    fun passesIn(millis: Long): Long = if (passMillis <= 0.0) MAX_PASSES else (millis / passMillis).toLong().coerceIn(0, MAX_PASSES)
+    /** Returns how many passes begin within [millis] from now, at the pace of the last ones. */
+    fun passesToSkip(millis: Long, nowMillis: Long): Long {
+        if (passMillis <= 0.0) return MAX_PASSES
+        val untilNextMillis = atMillis + passMillis - nowMillis
+        if (untilNextMillis >= millis) return 0
+        return (1 + (millis - maxOf(untilNextMillis, 0.0)) / passMillis).toLong().coerceAtMost(MAX_PASSES)
+    }
 
     private companion object {
         const val MAX_STEP = 50L
--- a/side/src/main/kotlin/io/jaybeam/side/rank/DemandWindow.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/DemandWindow.kt
@@ -7,7 +7,7 @@
 import io.jaybeam.core.placement.GroupDemand
 
 // About one report of each rank.
-private const val RECENT_MILLIS = 150L
+private const val RECENT_MILLIS = 120L
 
 // Shares of demand that two moments have in common; under one demand nine tenths, after a shift two to seven tenths.
 private const val SAME_DEMAND = 0.75
--- a/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
@@ -40,15 +40,17 @@
 // An order that was not answered is given again after this time.
 private const val REPEAT_MILLIS = 500L
 
-// Sides report at least each 120 ms; one that missed two reports may be frozen or gone, and its rank is reached directly.
+// Sides report each 80 ms; one that missed three reports may be frozen or gone, and its rank is reached directly.
 private const val SILENT_MILLIS = 300L
 private const val READ_SILENT_MILLIS = 200L
 
 // Tokens of one term; a term makes a few for each change.
 private const val FENCE_BITS = 20
 
-// `bench group` on the trace of a day: this policy reaches the skew of larger changes with a quarter of the loads.
-private const val NEW_EXPERTS_PER_RANK = 3
+// Time for which ranks load experts in one change. After a shift, passes are long until the change is in force, and longer
+// still while weights are copied; one expert a rank takes the skew from 3.4 to 1.4, the next change the rest (`bench group`
+// on the trace of a day).
+private const val COPY_MILLIS = 110L
 private const val MIN_SKEW = 1.25
 private const val TARGET_SKEW = 1.15
 
@@ -332,7 +334,7 @@
         if (nowMillis() - plannedAtMillis < PLAN_EVERY_MILLIS) return
         plannedAtMillis = nowMillis()
         sentAtMillis.clear()
-        val policy = GroupPlacementPolicy(model.newExpertsPerChange, NEW_EXPERTS_PER_RANK, MIN_SKEW, TARGET_SKEW)
+        val policy = GroupPlacementPolicy(model.newExpertsPerChange, model.expertsLoadedIn(COPY_MILLIS), MIN_SKEW, TARGET_SKEW)
         isPlanning = planner.offer(PlanRequest(mapOfRanks(experts, model.slotsPerRank), demand, policy))
     }
 
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RankWatch.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RankWatch.kt
@@ -17,7 +17,7 @@
 import io.jaybeam.wire.Link
 
 // A shift of demand shows in the second report after it; reading the own rank is free but for processor time.
-private const val REPORT_MILLIS = 120L
+private const val REPORT_MILLIS = 80L
 
 // A change of map waits for the last rank at each of its steps, so reports come faster until the map is in use.
 private const val CHANGE_REPORT_MILLIS = 50L
--- a/side/src/test/kotlin/io/jaybeam/side/rank/RankSideTest.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/RankSideTest.kt
@@ -203,6 +203,7 @@
                 expertMegabytes = 1.0,
                 expertShare = 0.9,
                 usualAnswerTokens = 1,
+                weightMegabitsPerSecond = 180_000.0,
                 reportLagMillis = 0,
             )
         val config = FleetConfig(1, emptyList(), listOf(ServicePolicy("pool", "", 1, 0.0, engine)), emptyList(), CallerLimits(1, 1, 1, 1))
