--- a/core/src/main/kotlin/io/jaybeam/core/admission/StreamAdmission.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/StreamAdmission.kt
@@ -19,6 +19,9 @@
 // One new prompt in each pass for so many running streams: each prompt lengthens the pass in which it is read.
 private const val STREAMS_PER_NEW_PROMPT = 12
 
+// Most loaded over mean rank of a map that knows nothing of the demand.
+private const val WORST_SKEW = 3.2
+
 // With fewer, the pace says more about other instances' streams than about this one's.
 private const val MIN_STREAMS = 3
 
@@ -59,14 +62,27 @@
     val sinceBeginMillis: Long,
 )
 
-/** Decides for streams whose events may be [maxGapMillis] apart, at targets that [engine] describes. Immutable. */
+/**
+ * Decides for streams whose events may be [maxGapMillis] apart, at [ranks] targets that [engine] describes and that
+ * [instances] send to. Immutable.
+ */
 public class StreamAdmission(
     private val engine: EngineModel,
     private val maxGapMillis: Long,
+    ranks: Int,
+    instances: Int,
 ) {
     private val fixedMillis = engine.stepMillis * engine.stepsPerPass
     private val passesPerStream = maxOf(engine.usualAnswerTokens.toDouble() / engine.stepsPerPass, 1.0)
 
+    // Streams that one instance begins before it knows the pace, as after a restart of all with many callers waiting.
+    private val firstStreams = maxOf((ranks * streamsPerRank() / maxOf(instances, 1)).toInt(), MIN_STREAMS)
+
+    private fun streamsPerRank(): Double {
+        val millisPerStream = engine.stepsPerPass * engine.stepMillisPerRequest * engine.expertShare * WORST_SKEW
+        return if (millisPerStream > 0) (maxGapMillis - fixedMillis) / millisPerStream else engine.batchSlots.toDouble()
+    }
+
     /** Returns what becomes of a stream that arrives. */
     public fun onArrival(load: StreamLoad): StreamDecision {
         if (load.waiting == 0 && mayBegin(load)) return StreamDecision.Begin
@@ -76,8 +92,8 @@
 
     /** Whether the stream at the head of the queue may begin. */
     public fun mayBegin(load: StreamLoad): Boolean {
-        val pass = load.passMillis ?: return true
-        if (load.running < MIN_STREAMS) return true
+        val pass = load.passMillis
+        if (pass == null || load.running < MIN_STREAMS) return load.begun < firstStreams
         return load.begun < streamsInPace(load.running, pass) && load.sinceBeginMillis >= spacingMillis(load, pass)
     }
 
@@ -96,6 +112,7 @@
     /** Streams begin as fast as running ones end. */
     private fun expectedWaitMillis(load: StreamLoad): Long {
         val pass = load.passMillis ?: return 0
+        if (load.running < MIN_STREAMS) return 0
         val streamMillis = passesPerStream * pass
         return ((load.waiting + 1) * streamMillis / maxOf(load.running, 1)).toLong()
     }
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
@@ -56,6 +56,9 @@
         return TargetTable(next)
     }
 
+    /** Returns how many targets [service] has, those that take no new work among them. */
+    public fun countOf(service: String): Int = byId.values.count { it.service == service }
+
     /** Returns the targets of [service] that take new work, without those in [excludedDataCentres]. */
     public fun usable(service: String, excludedDataCentres: Set<String>): List<FleetTarget> =
         byId.values.filter { it.service == service && !it.isLeaving && it.dataCentre !in excludedDataCentres }
--- a/core/src/main/kotlin/io/jaybeam/core/placement/GroupPlacement.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/GroupPlacement.kt
@@ -112,6 +112,31 @@
     return GroupPlan(map, before, groupSkew(map, demand), loaded).takeIf { loaded > 0 }
 }
 
+/**
+ * Returns the plan that loads least and brings the skew to [goodSkew] or below, or the best one where none does.
+ *
+ * Ranks load experts one after the other, so a change that loads fewer is in force sooner, and a second one can follow.
+ */
+public fun planQuickestPlacement(
+    current: GroupMap,
+    demand: GroupDemand,
+    policy: GroupPlacementPolicy,
+    goodSkew: Double,
+): GroupPlan? {
+    val plans =
+        (1..MAX_LOAD_ROUNDS).asSequence().mapNotNull { rounds ->
+            planGroupPlacement(current, demand, policy.copy(newPerRank = policy.newPerRank * rounds))
+        }
+    var best: GroupPlan? = null
+    for (plan in plans) {
+        if (best == null || plan.skewAfter < best.skewAfter) best = plan
+        if (plan.skewAfter <= goodSkew) break
+    }
+    return best
+}
+
+private const val MAX_LOAD_ROUNDS = 3
+
 private val GroupMap.rankCount: Int get() = sets.first().let { it.expertBySlot.size / it.slotsPerRank }
 
 /** Time that the most loaded rank takes beyond the mean one. */
--- a/core/src/test/kotlin/io/jaybeam/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/placement/PlacementTest.kt
@@ -72,4 +72,15 @@
         assertNotNull(planPlacement(current, load, PlacementPolicy(10, 1.0)))
         assertNull(planPlacement(current, load, PlacementPolicy(10, 99.0)))
     }
+
+    @Test
+    fun `the quickest plan loads no more than it takes to reach the skew that will do`() {
+        val demand = GroupDemand(List(4) { set -> List(72) { 1.0 / (1 + (it * 7 + set * 13) % 72) } })
+        val current = dealtMap(sets = 4, experts = 72, ranks = 12, slotsPerRank = 8)
+        val policy = GroupPlacementPolicy(newPerRankAndSet = 3, newPerRank = 1, minSkew = 1.25, targetSkew = 1.15)
+        val small = assertNotNull(planGroupPlacement(current, demand, policy))
+        assertEquals(small, planQuickestPlacement(current, demand, policy, goodSkew = small.skewAfter))
+        val large = assertNotNull(planQuickestPlacement(current, demand, policy, goodSkew = 1.0))
+        assertTrue(large.skewAfter < small.skewAfter && large.expertsLoaded > small.expertsLoaded, "$large")
+    }
 }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -85,8 +85,9 @@
     /** Returns what decides when [call] may begin; null where it need not wait. */
     private fun admissionOf(call: DirectCall): StreamAdmission? {
         if (call.route.kind != RouteKind.STREAM || call.route.maxEventGapMillis <= 0) return null
-        val engine = view().routes?.service(call.service)?.engine ?: return null
-        return StreamAdmission(engine, call.route.maxEventGapMillis)
+        val now = view()
+        val engine = now.routes?.service(call.service)?.engine ?: return null
+        return StreamAdmission(engine, call.route.maxEventGapMillis, now.targets.countOf(call.service), entryCount())
     }
 
     private fun admitted(call: DirectCall, response: DirectResponse, admission: StreamAdmission): CallEnd {
--- a/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
@@ -14,10 +14,11 @@
 import io.jaybeam.core.placement.GroupPlacementPolicy
 import io.jaybeam.core.placement.GroupPlan
 import io.jaybeam.core.placement.mapOfRanks
-import io.jaybeam.core.placement.planGroupPlacement
+import io.jaybeam.core.placement.planQuickestPlacement
 import io.jaybeam.core.rankgroup.ArmedMapChange
 import io.jaybeam.core.rankgroup.FencedOrder
 import io.jaybeam.core.rankgroup.MapPhase
+import io.jaybeam.core.rankgroup.OrderOutcome
 import io.jaybeam.core.rankgroup.OrderReply
 import io.jaybeam.core.rankgroup.RankPort
 import io.jaybeam.core.rankgroup.RankStatus
@@ -40,8 +41,7 @@
 // An order that was not answered is given again after this time.
 private const val REPEAT_MILLIS = 500L
 
-// Sides report each 80 ms; one that missed three reports may be frozen or gone, and its rank is reached directly.
-private const val SILENT_MILLIS = 300L
+// Ranks whose sides are silent are read this often while a change waits for them.
 private const val READ_SILENT_MILLIS = 200L
 
 // Tokens of one term; a term makes a few for each change.
@@ -51,6 +51,9 @@
 // still while weights are copied; one expert a rank takes the skew from 3.4 to 1.4, the next change the rest (`bench group`
 // on the trace of a day).
 private const val COPY_MILLIS = 110L
+
+// Passes are within the accepted gap at this skew; a change that reaches it need not load more.
+private const val GOOD_SKEW = 1.75
 private const val MIN_SKEW = 1.25
 private const val TARGET_SKEW = 1.15
 
@@ -242,8 +245,8 @@
         )
 
     private fun onReply(frame: Frame.RankReply) {
-        // An order without a reading of its rank is not done with.
-        if (frame.reading != null) {
+        // An order that was accepted but whose rank has not been read is not done with.
+        if (frame.reading != null || frame.outcome == OrderOutcome.UNKNOWN) {
             sentAtMillis.remove(SentOrder(frame.order, isRemote = true))
             sentAtMillis.remove(SentOrder(frame.order, isRemote = false))
         }
@@ -282,7 +285,7 @@
     /** Reads ranks without their sides where a change waits for them, or where they are not known at all. */
     private fun readSilentRanks(now: Long) {
         val group = change ?: return
-        if (now - readAtMillis < READ_SILENT_MILLIS || now - begunAtMillis < SILENT_MILLIS) return
+        if (now - readAtMillis < READ_SILENT_MILLIS || now - begunAtMillis < silentMillis(group.size)) return
         val isMissing = group.known.size < group.size
         val silent = peers.values.filter(::isSilent).map { it.address }
         if (!isMissing && (silent.isEmpty() || group.isSettled)) return
@@ -297,7 +300,7 @@
         )
     }
 
-    private fun isSilent(peer: RankPeer) = nowMillis() - peer.heardAtMillis > SILENT_MILLIS
+    private fun isSilent(peer: RankPeer) = nowMillis() - peer.heardAtMillis > silentMillis(change?.size ?: 1)
 
     /** Gives the orders that are due and asks for a plan where the group is settled. */
     private fun act() {
@@ -350,7 +353,7 @@
 
     private fun plan(request: PlanRequest) {
         val begun = nowMillis()
-        val plan = planGroupPlacement(request.map, request.demand, request.policy)
+        val plan = planQuickestPlacement(request.map, request.demand, request.policy, GOOD_SKEW)
         tell(CoordinatorMessage.Planned(plan, nowMillis() - begun))
     }
 
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RankWatch.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RankWatch.kt
@@ -16,12 +16,6 @@
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 
-// A shift of demand shows in the second report after it; reading the own rank is free but for processor time.
-private const val REPORT_MILLIS = 80L
-
-// A change of map waits for the last rank at each of its steps, so reports come faster until the map is in use.
-private const val CHANGE_REPORT_MILLIS = 50L
-
 // A change that takes longer has been given up.
 private const val CHANGE_MILLIS = 2_000L
 private const val TICK_MILLIS = 30L
@@ -55,6 +49,7 @@
     private var nextReportNanos = 0L
     private var changingUntilNanos = nanoTime()
     private var mapBeforeChange = 0L
+    private var groupSize = 1
     private var isUnreadable = false
 
     /** Name of the rank's group; null until the rank was read. */
@@ -108,8 +103,9 @@
     private fun onTick() {
         if (nanoTime() < nextReportNanos) return
         val isChanging = nanoTime() < changingUntilNanos
-        nextReportNanos = nanoTime() + (if (isChanging) CHANGE_REPORT_MILLIS else REPORT_MILLIS) * NANOS_PER_MILLI
+        nextReportNanos = nanoTime() + reportMillis(groupSize, isChanging) * NANOS_PER_MILLI
         val status = statusOrNull() ?: return
+        groupSize = status.groupSize
         val reading = status.reading
         if (isChanging && reading.mapVersion > mapBeforeChange) changingUntilNanos = nanoTime()
         if (!isChanging) mapBeforeChange = reading.mapVersion
