--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
@@ -102,7 +102,7 @@
                 if (hasGenerationChanged) leaveSilentCoordinator()
                 isMine = term.isMine
                 generation = term.generation
-                coordinator.tell(CoordinatorMessage.Term(term.generation.takeIf { term.isMine }))
+                coordinator.tellTerm(CoordinatorMessage.Term(term.generation.takeIf { term.isMine }))
             },
         )
         if (link?.isOpen != true && !isConnecting) connect(topic)
--- a/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
@@ -147,6 +147,9 @@
         remote.start()
     }
 
+    /** Tells the coordinator its term, waiting for room: one that misses its end would go on giving orders. */
+    fun tellTerm(term: CoordinatorMessage.Term) = duty.put(term)
+
     /** Tells the coordinator something; drops it if the coordinator is too busy, since reports are repeated. */
     fun tell(message: CoordinatorMessage): Boolean = duty.offer(message)
 
