--- a/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
@@ -21,7 +21,6 @@
 import io.jaybeam.core.rankgroup.OrderOutcome
 import io.jaybeam.core.rankgroup.OrderReply
 import io.jaybeam.core.rankgroup.RankPort
-import io.jaybeam.core.rankgroup.RankStatus
 import io.jaybeam.runtime.DutyThread
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
@@ -57,37 +56,6 @@
 private const val MIN_SKEW = 1.25
 private const val TARGET_SKEW = 1.15
 
-/** What the coordinator is told. */
-internal sealed class CoordinatorMessage {
-    /** This process's term; null while another process coordinates. */
-    data class Term(
-        val generation: Long?,
-    ) : CoordinatorMessage()
-
-    /** A rank's side reports over [link]. */
-    data class Report(
-        val link: Link,
-        val frame: Frame.RankReport,
-    ) : CoordinatorMessage()
-
-    /** A rank was read at [address] without its side. */
-    data class Read(
-        val address: HostPort,
-        val status: RankStatus,
-    ) : CoordinatorMessage()
-
-    /** A rank answered an order. */
-    data class Reply(
-        val frame: Frame.RankReply,
-    ) : CoordinatorMessage()
-
-    /** The planner has finished; [plan] is null where nothing is worth a change. */
-    data class Planned(
-        val plan: GroupPlan?,
-        val tookMillis: Long,
-    ) : CoordinatorMessage()
-}
-
 private class PlanRequest(
     val map: GroupMap,
     val demand: GroupDemand,
