Ranks of another group of the same service are left alone; streams that wait are a metric

Cause: found by reading the change once more. A coordinator that misses a rank reads all targets of its service in the store; a service may have several groups, with ranks of the same numbers, and their readings were taken for its own group's. Change: readings from another group are dropped. RankSideTest (ranks of another group) failed before with a claim given to a stranger. The count of waiting streams, which nothing read, is the gauge jaybeam_entry_streams_waiting.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -58,7 +58,7 @@
     private val gates = ConcurrentHashMap<String, StreamGate>()
     private val requestLog = RequestLog(events)
     private val inFlight = AtomicInteger()
-    private val metrics = EntryMetrics(knowledge, loads, inFlight::get, peers::peerCount)
+    private val metrics = EntryMetrics(knowledge, loads, inFlight::get, { gates.values.sumOf { it.waitingCount } }, peers::peerCount)
 
     @Volatile
     private var isStopping = false
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/EntryMetrics.kt
@@ -21,6 +21,7 @@
     private val knowledge: FleetKnowledge,
     private val loads: TargetLoads,
     inFlight: () -> Int,
+    waitingStreams: () -> Int,
     private val peerCount: () -> Int,
 ) {
     private val registry = metricsRegistry()
@@ -33,6 +34,7 @@
 
     init {
         Gauge.builder("jaybeam.entry.calls.in.flight", inFlight).register(registry)
+        Gauge.builder("jaybeam.entry.streams.waiting", waitingStreams).register(registry)
         Gauge.builder("jaybeam.entry.peers", peerCount).register(registry)
         Gauge.builder("jaybeam.config.version") { knowledge.view.configVersion }.register(registry)
         Gauge.builder("jaybeam.targets.age.millis") { targetsAgeMillis() }.register(registry)
--- a/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/MapCoordinator.kt
@@ -86,6 +86,7 @@
     private val store: FleetStore,
     private val settings: InstanceSettings,
     private val ownRank: () -> Int?,
+    private val ownGroup: () -> String?,
     rankAt: (HostPort) -> RankPort,
     private val events: EventLog,
     private val nowMillis: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
@@ -193,6 +194,8 @@
 
     private fun onRead(message: CoordinatorMessage.Read) {
         val now = change ?: return
+        // A service may have several groups, with ranks of the same numbers.
+        if (message.status.group != ownGroup()) return
         val rank = message.status.reading.rank
         val known = peers[rank]
         if (known == null) peers[rank] = RankPeer(message.address, null, null, 0)
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RankSide.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RankSide.kt
@@ -34,7 +34,7 @@
     private val events = EventLog(settings.instance, clock)
     private val links = LinkRuntime()
     private val watch = RankWatch(rank, checkNotNull(settings.target), events)
-    private val coordinator = MapCoordinator(store, settings, { watch.rankNumber }, rankAt, events)
+    private val coordinator = MapCoordinator(store, settings, { watch.rankNumber }, { watch.group }, rankAt, events)
     private val election = CoordinatorElection(settings.peers, store, links, watch, coordinator, events)
 
     override fun start() {
--- a/side/src/test/kotlin/io/jaybeam/side/rank/RankSideTest.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/RankSideTest.kt
@@ -27,6 +27,7 @@
 import io.jaybeam.core.rankgroup.RankReading
 import io.jaybeam.core.rankgroup.RankStatus
 import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -39,7 +40,11 @@
 private const val SLOTS = 3
 private const val HOST = "127.0.0.1"
 private const val PASS_MILLIS = 15L
+
+// Targets of the same service that are ranks of another group.
+private const val STRANGERS = 2
 private const val FIRST_TARGET_PORT = 20_000
+private const val SEARCH_MILLIS = 2_500L
 private const val SETTLE_MILLIS = 15_000L
 
 private fun targetAddress(rank: Int) = HostPort(HOST, FIRST_TARGET_PORT + rank)
@@ -212,7 +217,7 @@
 
     override fun newestTargets(): Either<StoreFault, LogPage<TargetNotice>> =
         LogPage(
-            (0 until RANKS).map {
+            ((RANKS until RANKS + STRANGERS) + (0 until RANKS)).map {
                 val address = targetAddress(it)
                 val target = FleetTarget("t$it", "pool", address.host, address.port, "north", 8, false, 0, 0)
                 TargetNotice.Announced(target)
@@ -228,6 +233,8 @@
 
 internal class RankSideTest {
     private val group = InProcessGroup()
+    private val otherGroup = InProcessGroup()
+    private val ordersToStrangers = CopyOnWriteArrayList<FencedOrder>()
     private val store = InProcessStore()
     private val ports = group.ranks.map { FreezablePort(it) }
     private val sides = ports.indices.map { number -> settings(number).let { it.peers to side(it, number) } }
@@ -236,6 +243,7 @@
     fun close() {
         sides.forEach { (_, side) -> side.stop() }
         group.close()
+        otherGroup.close()
     }
 
     @Test
@@ -267,11 +275,34 @@
         group.demand = listOf(10, 10, 10, 10, 80, 90)
         awaitMapAfter(first)
         frozen.isFrozen = false
+        assertEquals(emptyList(), ordersToStrangers.toList())
         assertEquals(emptyList(), synchronized(group) { group.mapsOfPasses.filter { it.size > 1 } })
     }
 
+    @Test
+    fun `ranks of another group get no orders while a rank of this one is not known`() {
+        sides.drop(1).forEach { (_, side) -> side.start() }
+        group.demand = listOf(90, 80, 10, 10, 10, 10)
+        // The rank whose side was never started is looked for through the store, beside those of the other group.
+        Thread.sleep(SEARCH_MILLIS)
+        assertEquals(emptyList(), ordersToStrangers.toList())
+    }
+
     private fun side(settings: InstanceSettings, number: Int) =
-        RankSide(settings, store, ports[number], Clock.System) { address -> group.ranks[address.port - FIRST_TARGET_PORT] }
+        RankSide(settings, store, ports[number], Clock.System) { address ->
+            group.ranks.getOrNull(address.port - FIRST_TARGET_PORT) ?: stranger(address.port - FIRST_TARGET_PORT - RANKS)
+        }
+
+    /** A rank of another group, with the number of a rank of this one. */
+    private fun stranger(number: Int) =
+        object : RankPort by otherGroup.ranks[number] {
+            override fun status() = otherGroup.ranks[number].status().map { it.copy(group = "g1") }
+
+            override fun give(order: FencedOrder, map: GroupMap?): OrderOutcome {
+                ordersToStrangers += order
+                return OrderOutcome.CONFLICT
+            }
+        }
 
     private fun awaitMapAfter(version: Long): Long {
         val until = System.nanoTime() + SETTLE_MILLIS * NANOS_PER_MILLI
