Log how the end of an answer is marked, by the target and for the caller

Requests answered, failed or abandoned now name the target, and the framing of its answer and of the relayed one.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectCall.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectCall.kt
@@ -4,6 +4,7 @@
 package io.jaybeam.entry.direct
 
 import io.jaybeam.core.fleet.Route
+import io.jaybeam.entry.answer.AnswerFraming
 import io.jaybeam.platform.CallerRequest
 import io.jaybeam.platform.Header
 
@@ -42,6 +43,9 @@
     /** Whether the head of an answer has been sent. */
     val isCommitted: Boolean
 
+    /** How the end of an answer of unknown length is marked for the caller. */
+    val framing: AnswerFraming
+
     /** Calls [onGone] when the caller closes its connection, or immediately if it is closed already. */
     fun watch(onGone: () -> Unit)
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -138,9 +138,9 @@
         val arrivedNanos = System.nanoTime()
         val caller = decodeCallerRequest(context::header)
         try {
-            val outcome = respond(context, caller, arrivedNanos, response)
-            requestLog.requestEnded(caller, outcome, cache.snapshot, arrivedNanos)
-            metrics.recordCall(outcome, System.nanoTime() - arrivedNanos)
+            val record = respond(context, caller, arrivedNanos, response)
+            requestLog.requestEnded(caller, record, cache.snapshot, arrivedNanos)
+            metrics.recordCall(record.outcome, System.nanoTime() - arrivedNanos)
         } catch (e: IOException) {
             requestLog.requestAbandoned(caller, "request or answer: ${e.javaClass.simpleName}: ${e.message}", arrivedNanos)
         } finally {
@@ -153,7 +153,7 @@
         caller: CallerRequest,
         arrivedNanos: Long,
         response: ServletResponse,
-    ): CallOutcome {
+    ): CallRecord {
         if (isRefusingRequests) return refuse(Refusal.STOPPING, response)
         if (!cache.snapshot.isComplete) cache.awaitComplete(STARTUP_WAIT_MILLIS - (System.nanoTime() - startedNanos) / NANOS_PER_MILLI)
         val routes = cache.snapshot.routes ?: return refuse(Refusal.NO_CONFIGURATION, response)
@@ -174,9 +174,9 @@
         }
     }
 
-    private fun refuse(refusal: Refusal, response: ServletResponse): CallOutcome {
+    private fun refuse(refusal: Refusal, response: ServletResponse): CallRecord {
         response.refuse(refusal)
-        return CallOutcome.Refused(refusal, "")
+        return CallRecord(CallOutcome.Refused(refusal, ""))
     }
 
     private fun newCall(
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -13,6 +13,7 @@
 import io.jaybeam.core.fleet.chooseTarget
 import io.jaybeam.core.fleet.coldStartRatePerInstance
 import io.jaybeam.core.routing.RetryBudget
+import io.jaybeam.entry.answer.AnswerFraming
 import io.jaybeam.platform.Header
 import io.jaybeam.platform.isForwardedToCaller
 import okhttp3.Response
@@ -43,6 +44,24 @@
     data object CallerGone : CallOutcome()
 }
 
+/**
+ * The answer of a target whose head was relayed, for the log.
+ *
+ * @property targetFraming how the target marks the end of the answer.
+ * @property callerFraming how its end is marked for the caller.
+ */
+internal data class RelayedAnswer(
+    val target: String,
+    val targetFraming: AnswerFraming,
+    val callerFraming: AnswerFraming,
+)
+
+/** The outcome of a call, and the answer that was relayed, or null if the entry answered by itself. */
+internal data class CallRecord(
+    val outcome: CallOutcome,
+    val relayed: RelayedAnswer? = null,
+)
+
 /** Details of sending a call to one target, for the log. */
 internal data class SendRecord(
     val target: String,
@@ -74,12 +93,13 @@
     private val onStreamResumed: (DirectCall, SendRecord, Long) -> Unit,
 ) {
     /** Forwards [call], writes the answer to [response] and returns the outcome; blocks until the answer has ended. */
-    fun forward(call: DirectCall, response: DirectResponse): CallOutcome {
+    fun forward(call: DirectCall, response: DirectResponse): CallRecord {
         val admission = admissionFor(call)
-        val outcome = if (admission == null) CallExecution(call, response, null).run() else forwardWhenAdmitted(call, response, admission)
+        val record = if (admission == null) CallExecution(call, response, null).run() else forwardWhenAdmitted(call, response, admission)
+        val outcome = record.outcome
         if (outcome is CallOutcome.Refused) response.refuse(outcome.refusal, outcome.retryAfterMillis)
         if (outcome is CallOutcome.BrokenOff) response.abort()
-        return outcome
+        return record
     }
 
     /** Returns the admission that decides when the stream of [call] may start; null if [call] starts immediately. */
@@ -90,18 +110,18 @@
         return StreamAdmission(engine, call.route.maxEventGapMillis, snapshot.targets.countForService(call.service), entryCount())
     }
 
-    private fun forwardWhenAdmitted(call: DirectCall, response: DirectResponse, admission: StreamAdmission): CallOutcome {
+    private fun forwardWhenAdmitted(call: DirectCall, response: DirectResponse, admission: StreamAdmission): CallRecord {
         val streamQueue = streamQueueFor(call.service)
         response.watch(streamQueue::wake)
         val queueOutcome = streamQueue.awaitStart(admission) { response.isCallerGone }
         if (queueOutcome !is StreamQueueOutcome.Passed || queueOutcome.waitedMillis > 0) onStreamHeld(call, queueOutcome)
         return when (queueOutcome) {
             is StreamQueueOutcome.CallerGone -> {
-                CallOutcome.CallerGone
+                CallRecord(CallOutcome.CallerGone)
             }
 
             is StreamQueueOutcome.Refused -> {
-                CallOutcome.Refused(Refusal.NO_ROOM, "passes take ${queueOutcome.passMillis} ms", queueOutcome.retryAfterMillis)
+                CallRecord(CallOutcome.Refused(Refusal.NO_ROOM, "passes take ${queueOutcome.passMillis} ms", queueOutcome.retryAfterMillis))
             }
 
             is StreamQueueOutcome.Passed -> {
@@ -126,6 +146,7 @@
         private var mayHaveRun = false
         private var lastDetail = ""
 
+        private var relayed: RelayedAnswer? = null
         private var lastEventNanos = 0L
 
         /** Whether the stream has had an event. */
@@ -134,7 +155,12 @@
         /** Server error of a target, relayed if no other target gives a better answer. */
         private var failedAnswer: BufferedAnswer? = null
 
-        fun run(): CallOutcome {
+        fun run(): CallRecord {
+            val outcome = runAttempts()
+            return CallRecord(outcome, relayed)
+        }
+
+        private fun runAttempts(): CallOutcome {
             while (true) {
                 if (response.isCallerGone) return CallOutcome.CallerGone
                 if (call.remainingMillis(System.nanoTime()) <= 0) return giveUp(Refusal.DEADLINE)
@@ -176,7 +202,7 @@
             var hasFailed = true
             try {
                 val sendOutcome = sender.send(call, target, lastEventId, response)
-                val callOutcome = if (sendOutcome is SendOutcome.Answered) relay(sendOutcome) else null
+                val callOutcome = if (sendOutcome is SendOutcome.Answered) relay(target, sendOutcome) else null
                 hasFailed = callOutcome == null || callOutcome is CallOutcome.BrokenOff
                 if (callOutcome != null) return callOutcome
                 return onSendFailure(sendOutcome, record)
@@ -202,9 +228,10 @@
         }
 
         /** Relays an answer; returns null if it was interrupted and another target may continue. */
-        private fun relay(outcome: SendOutcome.Answered): CallOutcome? =
+        private fun relay(target: FleetTarget, outcome: SendOutcome.Answered): CallOutcome? =
             outcome.response.use { received ->
                 try {
+                    relayed = RelayedAnswer(target.id, targetFramingOf(received), response.framing)
                     if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK) {
                         relayStream(received)
                     } else {
@@ -282,6 +309,13 @@
             return CallOutcome.Answered(received.code)
         }
 
+        private fun targetFramingOf(received: Response): AnswerFraming =
+            when {
+                received.header("Content-Length") != null -> AnswerFraming.LENGTH
+                received.header("Transfer-Encoding") != null -> AnswerFraming.CHUNKS
+                else -> AnswerFraming.CONNECTION
+            }
+
         private fun recordEvent() {
             val now = System.nanoTime()
             if (hasEvents) streamQueue?.onEvent((now - lastEventNanos) / NANOS_PER_MILLI) else streamQueue?.onFirstEvent()
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectHttpServer.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectHttpServer.kt
@@ -10,6 +10,8 @@
 import io.javalin.http.HandlerType
 import io.javalin.router.Endpoint
 import io.jaybeam.core.fleet.HostPort
+import io.jaybeam.entry.answer.AnswerFraming
+import io.jaybeam.entry.answer.framingOf
 import io.jaybeam.platform.Header
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest
 import org.eclipse.jetty.http.UriCompliance
@@ -139,6 +141,8 @@
     override var isCommitted: Boolean = false
         private set
 
+    override val framing: AnswerFraming get() = framingOf(context.req(), isStopping())
+
     override fun watch(onGone: () -> Unit) {
         endPoint.watch {
             isCallerGone = true
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/RequestLog.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/RequestLog.kt
@@ -24,19 +24,29 @@
         events.write(LogEvent.STREAM_RESUMED, *sendFields(call, sendRecord), LogField("lastEventId", "$lastEventId"))
 
     /** Logs that the caller closed its connection or that the connection failed. */
-    fun requestAbandoned(caller: CallerRequest, detail: String, arrivedNanos: Long) =
-        events.write(LogEvent.REQUEST_ABANDONED, requestField(caller), LogField("detail", detail), elapsedField(arrivedNanos))
+    fun requestAbandoned(
+        caller: CallerRequest,
+        detail: String,
+        arrivedNanos: Long,
+        relayed: RelayedAnswer? = null,
+    ) = events.write(
+        LogEvent.REQUEST_ABANDONED,
+        requestField(caller),
+        LogField("detail", detail),
+        elapsedField(arrivedNanos),
+        *relayedFields(relayed),
+    )
 
     /** Logs the outcome of a request. */
     fun requestEnded(
         caller: CallerRequest,
-        outcome: CallOutcome,
+        record: CallRecord,
         snapshot: FleetSnapshot,
         arrivedNanos: Long,
     ) {
         val version = LogField("configVersion", "${snapshot.routes?.config?.version}")
         val configAge = LogField("configAgeMillis", "${(System.nanoTime() - snapshot.routesReadAtNanos) / NANOS_PER_MILLI}")
-        when (outcome) {
+        when (val outcome = record.outcome) {
             is CallOutcome.Answered -> {
                 events.write(
                     LogEvent.REQUEST_ANSWERED,
@@ -44,6 +54,7 @@
                     LogField("status", "${outcome.status}"),
                     elapsedField(arrivedNanos),
                     version,
+                    *relayedFields(record.relayed),
                 )
             }
 
@@ -67,11 +78,12 @@
                     LogField("detail", outcome.detail),
                     elapsedField(arrivedNanos),
                     version,
+                    *relayedFields(record.relayed),
                 )
             }
 
             is CallOutcome.CallerGone -> {
-                requestAbandoned(caller, "the caller closed its connection", arrivedNanos)
+                requestAbandoned(caller, "the caller closed its connection", arrivedNanos, record.relayed)
             }
         }
     }
@@ -87,6 +99,17 @@
             LogField("detail", sendRecord.detail),
         )
 
+    private fun relayedFields(relayed: RelayedAnswer?): Array<LogField> =
+        if (relayed == null) {
+            emptyArray()
+        } else {
+            arrayOf(
+                LogField("target", relayed.target),
+                LogField("targetFraming", relayed.targetFraming.name),
+                LogField("callerFraming", relayed.callerFraming.name),
+            )
+        }
+
     private fun requestField(caller: CallerRequest) = LogField("request", caller.requestId.orEmpty())
 
     private fun elapsedField(arrivedNanos: Long) = LogField("millis", "${(System.nanoTime() - arrivedNanos) / NANOS_PER_MILLI}")
