--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/DirectEntryTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/DirectEntryTest.kt
@@ -1,117 +1,12 @@
 package io.jaybeam.entry.direct
 
-import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
-import io.jaybeam.core.fleet.CallerLimits
-import io.jaybeam.core.fleet.CoordinatorTerm
-import io.jaybeam.core.fleet.FleetConfig
-import io.jaybeam.core.fleet.FleetLimits
-import io.jaybeam.core.fleet.FleetStore
-import io.jaybeam.core.fleet.FleetTarget
-import io.jaybeam.core.fleet.HostPort
-import io.jaybeam.core.fleet.InstanceSettings
-import io.jaybeam.core.fleet.LogPage
-import io.jaybeam.core.fleet.OperatorUpdate
-import io.jaybeam.core.fleet.Organisation
-import io.jaybeam.core.fleet.Route
-import io.jaybeam.core.fleet.RouteKind
-import io.jaybeam.core.fleet.StoreFault
-import io.jaybeam.core.fleet.TargetUpdate
-import io.jaybeam.core.fleet.WeightedService
-import java.net.ServerSocket
-import java.net.Socket
 import kotlin.concurrent.thread
-import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
-import kotlin.time.Clock
-
-private const val HOST = "127.0.0.1"
-private const val ROUTE_TIMEOUT_MILLIS = 900L
-
-private fun route(
-    prefix: String,
-    kind: RouteKind,
-    service: String,
-    maxTargets: Int,
-) = Route(
-    prefix,
-    "shop.example",
-    prefix,
-    kind,
-    ROUTE_TIMEOUT_MILLIS,
-    100,
-    1,
-    listOf(WeightedService(service, 1)),
-    maxTargets,
-    false,
-    true,
-    0,
-)
-
-private fun target(id: String, service: String, port: Int) =
-    FleetTarget(id, service, HOST, port, "north", 8, isDraining = false, remainingColdStartMillis = 0, startedAtEpochMillis = 0)
-
-/** A store with one configuration and [targets] that never change. */
-private class FixedStore(
-    targets: List<FleetTarget>,
-) : FleetStore {
-    private val config =
-        FleetConfig(
-            version = 7,
-            routes =
-                listOf(
-                    route("/safe/", RouteKind.IDEMPOTENT, "plain", maxTargets = 2),
-                    route("/once/", RouteKind.AT_MOST_ONCE, "plain", maxTargets = 2),
-                    route("/stream/", RouteKind.STREAM, "plain", maxTargets = 2),
-                ),
-            services = emptyList(),
-            organisations = listOf(Organisation("lens", setOf("key-1"))),
-            callerLimits = CallerLimits(16_384, 1_000, 3_000, 15_000),
-        )
-    private val updates = targets.map { TargetUpdate.Announced(it) }
-
-    override fun readLatestTargets(): Either<StoreFault, LogPage<TargetUpdate>> = LogPage(updates, 1, emptyList()).right()
-
-    override fun readTargetsFrom(position: Long): Either<StoreFault, LogPage<TargetUpdate>> =
-        LogPage(emptyList<TargetUpdate>(), position, emptyList()).right()
-
-    override fun readLatestOperatorUpdates(): Either<StoreFault, LogPage<OperatorUpdate>> =
-        LogPage(listOf(OperatorUpdate.Published(config)), 1, emptyList()).right()
-
-    override fun readOperatorUpdatesFrom(position: Long, waitMillis: Long): Either<StoreFault, LogPage<OperatorUpdate>> {
-        Thread.sleep(waitMillis)
-        return LogPage(emptyList<OperatorUpdate>(), position, emptyList()).right()
-    }
-
-    override fun joinCandidates(
-        group: String,
-        address: HostPort,
-        generation: Long,
-        lifetimeMillis: Long,
-    ): Either<StoreFault, CoordinatorTerm> = StoreFault.Refused("not supported by this store").left()
-
-    override fun coordinator(group: String): Either<StoreFault, HostPort?> = null.right()
-}
-
-/** An answer as a caller received it. */
-private class CallerAnswer(
-    val status: Int,
-    val headers: List<String>,
-    val body: String,
-    val isComplete: Boolean,
-)
-
-internal class DirectEntryTest {
-    private val resources = mutableListOf<AutoCloseable>()
-    private val entries = mutableListOf<DirectEntry>()
-
-    @AfterTest
-    fun close() = resources.forEach { it.close() }
 
+internal class DirectEntryTest : EntryFixture() {
     @Test
     fun `a request is forwarded with the entry's headers and without the key`() {
         val target = scriptedTarget { request, out -> out.answer(request, "200 OK", "hold", "Response-Seal: s1") }
@@ -287,8 +182,6 @@
         assertEquals(502, answer.status)
     }
 
-    private fun scriptedTarget(answer: (ReceivedRequest, java.io.OutputStream) -> Unit) = ScriptedTarget(answer).also { resources += it }
-
     @Test
     fun `a caller that connects while the entry starts is served`() {
         val target = scriptedTarget { request, out -> out.answer(request, "200 OK", "hold", "Response-Seal: s1") }
@@ -298,110 +191,4 @@
         entry.start()
         assertEquals(200, caller.read().status)
     }
-
-    private fun startEntry(vararg targets: ScriptedTarget, graceMillis: Long = 1_000): Int {
-        val (entry, ports) = newEntry(*targets, graceMillis = graceMillis)
-        entry.start()
-        while (Caller(ports[1]).call("GET", "/v1/ready").status != 200) Thread.sleep(10)
-        return ports[0]
-    }
-
-    /** Returns an entry that has not been started, and its ports for callers and for readiness checks. */
-    private fun newEntry(vararg targets: ScriptedTarget, graceMillis: Long = 1_000): Pair<DirectEntry, List<Int>> {
-        val ports = List(2) { ServerSocket(0).use { it.localPort } }
-        val settings =
-            InstanceSettings(
-                instance = "entry-1",
-                dataCentre = "north",
-                host = HOST,
-                callerAddress = HostPort(HOST, ports[0]),
-                readinessAddress = HostPort(HOST, ports[1]),
-                peerAddress = HostPort(HOST, 0),
-                seedAddresses = emptyList(),
-                targetAddress = null,
-                targetService = null,
-                storeAddress = HostPort(HOST, 1),
-                limits =
-                    FleetLimits(
-                        shutdownGraceMillis = graceMillis,
-                        retryPercent = 20,
-                        retrySlack = 90,
-                        retryWindowMillis = 10_000,
-                        isFencingRequired = true,
-                    ),
-            )
-        val entry =
-            DirectEntry(
-                settings,
-                FixedStore(
-                    targets.mapIndexed {
-                        index,
-                        scriptedTarget,
-                        ->
-                        target("t$index", "plain", scriptedTarget.port)
-                    },
-                ),
-                Clock.System,
-            )
-        entries += entry
-        resources += AutoCloseable { entry.stop() }
-        return entry to ports
-    }
-
-    private fun connectCaller(port: Int) = Caller(port).also { caller -> resources += AutoCloseable { caller.socket.close() } }
-
-    private class Caller(
-        port: Int,
-    ) {
-        val socket = Socket(HOST, port)
-        private val input = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
-
-        fun call(
-            method: String,
-            path: String,
-            key: String = "key-1",
-            body: String = "",
-        ): CallerAnswer {
-            send(method, path, key, body)
-            return read()
-        }
-
-        fun send(
-            method: String,
-            path: String,
-            key: String = "key-1",
-            body: String = "",
-        ) {
-            val head =
-                listOf("$method $path HTTP/1.1", "Host: shop.example", "Request-Id: r1", "Deadline-Ms: 5000") +
-                    listOf("Authorization: Bearer $key", "Content-Length: ${body.length}")
-            socket.getOutputStream().write((head.joinToString("\r\n") + "\r\n\r\n" + body).encodeToByteArray())
-        }
-
-        fun read(): CallerAnswer {
-            val status = input.readLine().split(' ')[1].toInt()
-            val headers = generateSequence { input.readLine()?.takeIf { it.isNotEmpty() } }.toList()
-            val length =
-                headers
-                    .firstOrNull { it.startsWith("Content-Length:") }
-                    ?.substringAfter(':')
-                    ?.trim()
-                    ?.toInt()
-            if (length != null) return CallerAnswer(status, headers, readText(length), isComplete = true)
-            return readChunks(status, headers)
-        }
-
-        private fun readChunks(status: Int, headers: List<String>): CallerAnswer {
-            val body = StringBuilder()
-            while (true) {
-                val size =
-                    runCatching { input.readLine() }.getOrNull()?.trim()?.toInt(16) ?: return CallerAnswer(status, headers, "$body", false)
-                body.append(readText(size))
-                input.readLine()
-                if (size == 0) return CallerAnswer(status, headers, "$body", isComplete = true)
-            }
-        }
-
-        private fun readText(length: Int) = String(CharArray(length) { input.read().toChar() })
-    }
 }
