--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -68,6 +68,8 @@
     val load: Int,
     val targetsAgeMillis: Long,
     val detail: String,
+    val hasEvents: Boolean = false,
+    val failedTargetId: String? = null,
 )
 
 /** A short answer that was read completely before it is relayed. */
@@ -220,7 +222,10 @@
                 is SendOutcome.Unsendable -> return giveUp(Refusal.MALFORMED_TARGET)
                 is SendOutcome.Answered -> Unit
             }
-            if (!response.isCallerGone) onSendFailed(call, record.copy(detail = lastDetail))
+            if (!response.isCallerGone) {
+                val failedTargetId = (outcome as? SendOutcome.NotRun)?.failedTargetId
+                onSendFailed(call, record.copy(detail = lastDetail, hasEvents = hasEvents, failedTargetId = failedTargetId))
+            }
             return null
         }
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/RequestLog.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/RequestLog.kt
@@ -13,7 +13,14 @@
     private val events: EventLog,
 ) {
     /** Logs that a target gave no answer that can be relayed. */
-    fun sendFailed(call: DirectCall, sendRecord: SendRecord) = events.write(LogEvent.SEND_FAILED, *sendFields(call, sendRecord))
+    fun sendFailed(call: DirectCall, sendRecord: SendRecord) =
+        events.write(
+            LogEvent.SEND_FAILED,
+            *sendFields(call, sendRecord),
+            LogField("hasEvents", "${sendRecord.hasEvents}"),
+            LogField("failedTarget", sendRecord.failedTargetId.orEmpty()),
+            LogField("promptParts", call.caller.sharedPromptParts.joinToString(",")),
+        )
 
     /** Logs that a stream waited in the stream queue or was refused there. */
     fun streamHeld(call: DirectCall, outcome: StreamQueueOutcome) =
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -36,9 +36,10 @@
         val answer: TargetAnswer,
     ) : SendOutcome()
 
-    /** The request did not run at the target and never will. */
+    /** The request did not run at the target and never will, because [failedTargetId] has failed if that is not null. */
     data class NotRun(
         val detail: String,
+        val failedTargetId: String? = null,
     ) : SendOutcome()
 
     /** The request may have run at the target. */
@@ -109,7 +110,7 @@
         }
         if (answer.isNotRun) {
             received.close()
-            return SendOutcome.NotRun("target answered ${received.code}")
+            return SendOutcome.NotRun("target answered ${received.code}", answer.failedTargetId)
         }
         if (received.isSuccessful && !answer.isSealed) {
             // A target that crashes may close its connection after the head, which looks like an empty answer.
