--- /dev/null
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
@@ -0,0 +1,145 @@
+/*
+ * Requests that crash every target that answers them must not crash one target after the other.
+ */
+package io.jaybeam.entry.direct
+
+import org.junit.jupiter.api.Tag
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+private const val RESTART_MILLIS = 40L
+private const val CRASHING_PART = "dead"
+
+// The rule on crashing requests begins to count after this many crashes.
+private const val MAX_CRASHES = 5
+
+/** A target that ends as soon as it begins to answer a request with [CRASHING_PART] or the path /safe/crash, and starts again later. */
+private class CrashingTarget : AutoCloseable {
+    private var server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val sockets = CopyOnWriteArrayList<Socket>()
+    val port = server.localPort
+    val crashes = AtomicInteger()
+
+    @Volatile
+    private var isClosed = false
+
+    init {
+        thread(isDaemon = true) {
+            while (!isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull()
+                if (socket == null) restart() else thread(isDaemon = true) { runCatching { serve(socket) } }
+            }
+        }
+    }
+
+    override fun close() {
+        isClosed = true
+        server.close()
+    }
+
+    private fun restart() {
+        if (isClosed) return
+        Thread.sleep(RESTART_MILLIS)
+        server = ServerSocket().also { it.reuseAddress = true }
+        server.bind(InetSocketAddress("127.0.0.1", port), BACKLOG)
+    }
+
+    private fun crash() {
+        crashes.incrementAndGet()
+        server.close()
+        sockets.forEach { it.close() }
+        sockets.clear()
+    }
+
+    private fun serve(socket: Socket) {
+        sockets += socket
+        val input = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
+        while (true) {
+            val path = (input.readLine() ?: return).split(' ')[1]
+            val headers = generateSequence { input.readLine()?.takeIf { it.isNotEmpty() } }.toList()
+            val length =
+                headers
+                    .firstOrNull { it.startsWith("Content-Length:") }
+                    ?.substringAfter(':')
+                    ?.trim()
+                    ?.toInt() ?: 0
+            repeat(length) { input.read() }
+            if (path == "/safe/crash") return crash()
+            val out = socket.getOutputStream()
+            out.startStream(ReceivedRequest(path, mapOf("request-id" to "r1"), socket), seal = "s")
+            if (headers.any { it.startsWith("Prefix-Hash:") && CRASHING_PART in it }) return crash()
+            out.writeChunk("id: 0\ndata: a\n\n")
+            out.write("0\r\n\r\n".encodeToByteArray())
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 50
+    }
+}
+
+internal class CrashingRequestTest : EntryFixture() {
+    private val targets = List(4) { closedAfterTest(CrashingTarget()) }
+    private val crashes: Int get() = targets.sumOf { it.crashes.get() }
+
+    private fun stream(port: Int, parts: String, body: String): CallerAnswer {
+        // Crashed targets have time to start again, as on a site where such requests come now and then.
+        Thread.sleep(RESTART_MILLIS * 2)
+        val caller = connectCaller(port)
+        caller.send("POST", "/stream/x", body = body, headers = listOf("Prefix-Hash: $parts"))
+        return caller.read()
+    }
+
+    @Tag("known-red")
+    @Test
+    fun `requests that share a crashing prompt part do not crash one target after the other`() {
+        val ports = startLinkedEntries(targets.map { it.port })
+        ports.forEach { port -> assertEquals(200, stream(port, "5e:40,1:9", "sound").status) }
+        repeat(12) { stream(ports[it % 2], "5e:40,$CRASHING_PART:70,$it:9", "body $it") }
+        assertTrue(crashes < MAX_CRASHES, "$crashes crashes")
+    }
+
+    @Tag("known-red")
+    @Test
+    fun `sound requests with the other parts of a crashing prompt are served at the first attempt`() {
+        val ports = startLinkedEntries(targets.map { it.port })
+        ports.forEach { port -> stream(port, "5e:40,1:9", "sound") }
+        repeat(6) { stream(ports[it % 2], "5e:40,$CRASHING_PART:70,$it:9", "body $it") }
+        val crashesBefore = crashes
+        repeat(10) { assertEquals(200, stream(ports[it % 2], "5e:40,77:30,$it:9", "sound $it").status) }
+        assertEquals(crashesBefore, crashes)
+        assertTrue(crashes < MAX_CRASHES, "$crashes crashes")
+    }
+
+    @Tag("known-red")
+    @Test
+    fun `a request with a crashing prompt part is refused at once as not run`() {
+        val ports = startLinkedEntries(targets.map { it.port })
+        stream(ports[0], "5e:40,$CRASHING_PART:70,1:9", "body 1")
+        val crashesBefore = crashes
+        val refused = stream(ports[1], "5e:40,$CRASHING_PART:70,2:9", "body 2")
+        assertEquals(503, refused.status)
+        assertTrue(refused.headers.any { it.startsWith("Retry-After:") }, "${refused.headers}")
+        assertEquals(crashesBefore, crashes)
+    }
+
+    @Tag("known-red")
+    @Test
+    fun `a repeated request that crashes targets before they answer does not crash one target after the other`() {
+        val ports = startLinkedEntries(targets.map { it.port })
+        repeat(12) {
+            Thread.sleep(RESTART_MILLIS * 2)
+            connectCaller(ports[it % 2]).call("GET", "/safe/crash")
+        }
+        assertTrue(crashes < MAX_CRASHES, "$crashes crashes")
+        assertEquals(200, connectCaller(ports[0]).call("GET", "/safe/other").status)
+    }
+}
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
@@ -29,6 +29,7 @@
 
 private const val HOST = "127.0.0.1"
 internal const val ROUTE_TIMEOUT_MILLIS = 900L
+private const val LINK_MILLIS = 300L
 
 private fun route(
     prefix: String,
@@ -108,6 +109,8 @@
     private val resources = mutableListOf<AutoCloseable>()
     protected val entries = mutableListOf<DirectEntry>()
 
+    protected fun <T : AutoCloseable> closedAfterTest(resource: T): T = resource.also { resources += it }
+
     @AfterTest
     fun close() = resources.forEach { it.close() }
 
@@ -115,13 +118,35 @@
 
     protected fun startEntry(vararg targets: ScriptedTarget, graceMillis: Long = 1_000): Int {
         val (entry, ports) = newEntry(*targets, graceMillis = graceMillis)
+        return start(entry, ports)
+    }
+
+    /** Returns the callers' ports of two linked entries that send to [targetPorts]. */
+    protected fun startLinkedEntries(targetPorts: List<Int>): List<Int> {
+        val peers = List(2) { HostPort(HOST, ServerSocket(0).use { it.localPort }) }
+        val started = peers.map { newEntry(targetPorts, peerAddress = it, seedAddresses = peers - it) }
+        started.forEach { (entry, ports) -> start(entry, ports) }
+        // The second entry connects to the first as it starts.
+        Thread.sleep(LINK_MILLIS)
+        return started.map { (_, ports) -> ports[0] }
+    }
+
+    private fun start(entry: DirectEntry, ports: List<Int>): Int {
         entry.start()
         while (Caller(ports[1]).call("GET", "/v1/ready").status != 200) Thread.sleep(10)
         return ports[0]
     }
 
     /** Returns an entry that has not been started, and its ports for callers and for readiness checks. */
-    protected fun newEntry(vararg targets: ScriptedTarget, graceMillis: Long = 1_000): Pair<DirectEntry, List<Int>> {
+    protected fun newEntry(vararg targets: ScriptedTarget, graceMillis: Long = 1_000): Pair<DirectEntry, List<Int>> =
+        newEntry(targets.map { it.port }, graceMillis)
+
+    private fun newEntry(
+        targetPorts: List<Int>,
+        graceMillis: Long = 1_000,
+        peerAddress: HostPort = HostPort(HOST, 0),
+        seedAddresses: List<HostPort> = emptyList(),
+    ): Pair<DirectEntry, List<Int>> {
         val ports = List(2) { ServerSocket(0).use { it.localPort } }
         val settings =
             InstanceSettings(
@@ -130,8 +155,8 @@
                 host = HOST,
                 callerAddress = HostPort(HOST, ports[0]),
                 readinessAddress = HostPort(HOST, ports[1]),
-                peerAddress = HostPort(HOST, 0),
-                seedAddresses = emptyList(),
+                peerAddress = peerAddress,
+                seedAddresses = seedAddresses,
                 targetAddress = null,
                 targetService = null,
                 storeAddress = HostPort(HOST, 1),
@@ -147,14 +172,7 @@
         val entry =
             DirectEntry(
                 settings,
-                FixedStore(
-                    targets.mapIndexed {
-                        index,
-                        scriptedTarget,
-                        ->
-                        target("t$index", "plain", scriptedTarget.port)
-                    },
-                ),
+                FixedStore(targetPorts.mapIndexed { index, port -> target("t$index", "plain", port) }),
                 Clock.System,
             )
         entries += entry
