An entry that has seen output of one of several blamed parts refutes its blame

Cause: the entry at which the first crash was seen had not yet seen output of the innocent part, so it blamed both parts; once that part was cleared, the request with both became a trial at once. Change: blame names the parts that are blamed together. An entry that has seen output of one, and not of another, answers that the first is cleared, so that the other is alone to blame and waits a minute for its trial.

--- a/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
@@ -8,7 +8,7 @@
  *
  * Blame may be wrong, as a target may crash for another reason in that moment. So a blamed trait is tried again, with one request
  * at a time; if that crashes its target too, requests with the trait are refused for [QUARANTINE_MILLIS]. If several parts of one
- * prompt are to blame, requests with only one of them are tried, which tells the parts apart.
+ * prompt are to blame, they are told apart by requests with only one of them, and by instances that have seen output of some.
  *
  * The load for which it is made: requests that share one part of their prompt and crash every target that answers them come at any
  * instance several times a second, among sound requests that share their organisation and all their other parts.
@@ -21,8 +21,8 @@
 public const val QUARANTINE_MILLIS: Long = 600_000L
 
 /**
- * Time before the trial of a part that alone is to blame and that no target has ever answered, in milliseconds. A trial that
- * crashes a target costs all requests of its group several seconds, and nothing speaks for such a part yet.
+ * Time before the trial of a part that alone is to blame and of which this instance has never seen output, in milliseconds. A trial
+ * that crashes a target costs all requests of its group several seconds, and nothing speaks for such a part yet.
  */
 public const val UNPROVEN_TRIAL_DELAY_MILLIS: Long = 60_000L
 
@@ -55,14 +55,27 @@
  *
  * @property crashes number of crashes for which it is blamed, each but the first after a trial.
  * @property lastCrashAgeMillis time from the last of them to the moment of sending.
- * @property trialInMillis time from the moment of sending until its next trial; not positive if it may be tried now.
+ * @property isQuarantined whether a trial of it alone crashed a target.
+ * @property jointParts other parts of the same prompt that are blamed for the last crash.
  */
 @Serializable
 public data class BlamedTrait(
     val trait: RequestTrait,
     val crashes: Int,
     val lastCrashAgeMillis: Long,
-    val trialInMillis: Long,
+    val isQuarantined: Boolean = false,
+    val jointParts: List<RequestTrait> = emptyList(),
+)
+
+/**
+ * What an instance makes of the blame that another one told it of.
+ *
+ * @property accepted traits that it did not blame before.
+ * @property refuted parts of which it has seen output, unlike of others that are blamed with them.
+ */
+public data class BlameReview(
+    val accepted: List<BlamedTrait>,
+    val refuted: List<RequestTrait>,
 )
 
 /** Keeps what is known of up to [capacity] traits. Thread-safe; times are monotonic milliseconds. */
@@ -74,7 +87,8 @@
         val lastOutputMillis: Long = 0,
         val crashes: Int = 0,
         val lastCrashMillis: Long = 0,
-        val nextTrialMillis: Long = 0,
+        val isQuarantined: Boolean = false,
+        val jointParts: List<RequestTrait> = emptyList(),
         val isOnTrial: Boolean = false,
     ) {
         val isBlamed: Boolean get() = crashes > 0
@@ -112,7 +126,7 @@
         isJoint: Boolean,
         nowMillis: Long,
     ): QuarantineDecision.Refuse? {
-        val trialMillis = if (isJoint) maxOf(record.nextTrialMillis, record.jointTrialMillis()) else record.nextTrialMillis
+        val trialMillis = record.lastCrashMillis + trialDelayMillis(trait, record, isJoint)
         return when {
             nowMillis < trialMillis -> QuarantineDecision.Refuse(trait, trialMillis - nowMillis)
             record.isOnTrial -> QuarantineDecision.Refuse(trait, TRIAL_RETRY_AFTER_MILLIS)
@@ -120,7 +134,16 @@
         }
     }
 
-    private fun Record.jointTrialMillis(): Long = lastCrashMillis + (JOINT_TRIAL_DELAY_MILLIS shl minOf(crashes - 1, MAX_DELAY_DOUBLINGS))
+    /** Returns the time from the last crash to the next trial of [trait]; [isJoint] if the request has several blamed parts. */
+    private fun trialDelayMillis(trait: RequestTrait, record: Record, isJoint: Boolean): Long {
+        val isAloneToBlame = record.jointParts.none { recordByTrait[it]?.isBlamed == true }
+        return when {
+            record.isQuarantined -> QUARANTINE_MILLIS
+            isJoint -> JOINT_TRIAL_DELAY_MILLIS shl minOf(record.crashes - 1, MAX_DELAY_DOUBLINGS)
+            trait is RequestTrait.PromptPart && isAloneToBlame && !record.hasOutput -> UNPROVEN_TRIAL_DELAY_MILLIS
+            else -> 0
+        }
+    }
 
     /** Ends the trial of [traits], whatever its outcome. */
     @Synchronized
@@ -144,51 +167,58 @@
     @Synchronized
     public fun onCrash(traits: Collection<RequestTrait>, sentMillis: Long, nowMillis: Long): List<RequestTrait> {
         val parts = traits.filterIsInstance<RequestTrait.PromptPart>()
-        val unprovenParts = parts.filterNot { recordByTrait[it]?.isProven == true }
+        val unprovenParts = parts.filterNot(::isProven)
         val suspectParts = unprovenParts.ifEmpty { parts }
         val suspects = suspectParts + traits.filterIsInstance<RequestTrait.Content>()
         return suspects.filter { trait ->
             val record = recordByTrait[trait] ?: Record()
             // A request that was sent before the last crash of its trait was no trial of it.
             val isNews = !record.isBlamed || sentMillis > record.lastCrashMillis
-            if (isNews) update(trait) { it.blamed(trialDelayMillis(trait, it, suspectParts.size), nowMillis) }
+            if (isNews) update(trait) { it.blamed(if (trait in suspectParts) suspectParts - trait else emptyList(), nowMillis) }
             isNews
         }
     }
 
-    private fun trialDelayMillis(trait: RequestTrait, record: Record, suspectPartCount: Int): Long =
-        when {
-            trait is RequestTrait.PromptPart && suspectPartCount > 1 -> 0
-            record.isBlamed -> QUARANTINE_MILLIS
-            trait is RequestTrait.PromptPart && !record.hasOutput -> UNPROVEN_TRIAL_DELAY_MILLIS
-            else -> 0
-        }
-
-    private fun Record.blamed(trialDelayMillis: Long, nowMillis: Long): Record =
-        copy(crashes = crashes + 1, lastCrashMillis = nowMillis, nextTrialMillis = nowMillis + trialDelayMillis)
+    private fun Record.blamed(jointParts: List<RequestTrait>, nowMillis: Long): Record =
+        copy(
+            crashes = crashes + 1,
+            lastCrashMillis = nowMillis,
+            isQuarantined = isBlamed && jointParts.isEmpty(),
+            jointParts = jointParts,
+        )
 
     /** Returns the blamed traits, for other instances. */
     @Synchronized
     public fun blamedTraits(nowMillis: Long): List<BlamedTrait> =
         recordByTrait.filterValues { it.isBlamed }.map { (trait, record) ->
-            BlamedTrait(trait, record.crashes, nowMillis - record.lastCrashMillis, record.nextTrialMillis - nowMillis)
+            BlamedTrait(trait, record.crashes, nowMillis - record.lastCrashMillis, record.isQuarantined, record.jointParts)
         }
 
-    /** Takes over [blamed] from another instance; returns those that were news. */
+    /** Takes over what another instance has [blamed], as far as this one does not know better. */
     @Synchronized
-    public fun onBlamedElsewhere(blamed: Collection<BlamedTrait>, nowMillis: Long): List<BlamedTrait> =
-        blamed.filter { other ->
-            val record = recordByTrait[other.trait] ?: Record()
-            val crashMillis = nowMillis - other.lastCrashAgeMillis
-            val isOutdated = record.hasOutput && record.lastOutputMillis >= crashMillis
-            val isNews = other.crashes > record.crashes && !isOutdated
-            if (isNews) {
-                update(other.trait) {
-                    it.copy(crashes = other.crashes, lastCrashMillis = crashMillis, nextTrialMillis = nowMillis + other.trialInMillis)
-                }
+    public fun onBlamedElsewhere(blamed: Collection<BlamedTrait>, nowMillis: Long): BlameReview {
+        val refuted = blamed.filter { other -> isProven(other.trait) && other.jointParts.any { !isProven(it) } }
+        val accepted = (blamed - refuted.toSet()).filter { isNews(it, nowMillis) }
+        accepted.forEach { other ->
+            update(other.trait) {
+                it.copy(
+                    crashes = other.crashes,
+                    lastCrashMillis = nowMillis - other.lastCrashAgeMillis,
+                    isQuarantined = other.isQuarantined,
+                    jointParts = other.jointParts,
+                )
             }
-            isNews
         }
+        return BlameReview(accepted, refuted.map { it.trait })
+    }
+
+    private fun isProven(trait: RequestTrait): Boolean = recordByTrait[trait]?.isProven == true
+
+    private fun isNews(other: BlamedTrait, nowMillis: Long): Boolean {
+        val record = recordByTrait[other.trait] ?: return true
+        val hasOutputSince = record.hasOutput && record.lastOutputMillis >= nowMillis - other.lastCrashAgeMillis
+        return other.crashes > record.crashes && !hasOutputSince
+    }
 
     /** Clears [traits], of which another instance has seen output; returns those that were blamed. */
     @Synchronized
--- a/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
@@ -60,10 +60,12 @@
         assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(shared, crashing), 101))
         assertIs<QuarantineDecision.Try>(quarantine.admit(listOf(shared), 101))
         quarantine.onOutput(listOf(shared), 102)
-        assertIs<QuarantineDecision.Try>(quarantine.admit(listOf(shared, crashing), 103))
-        assertEquals(listOf<RequestTrait>(crashing), quarantine.onCrash(listOf(shared, crashing), 103, 110))
-        assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(crashing), 110 + QUARANTINE_MILLIS - 1))
-        assertEquals(QuarantineDecision.Admit, quarantine.admit(listOf(shared), 111))
+        assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(shared, crashing), 103))
+        val later = 100 + UNPROVEN_TRIAL_DELAY_MILLIS
+        assertIs<QuarantineDecision.Try>(quarantine.admit(listOf(shared, crashing), later))
+        assertEquals(listOf<RequestTrait>(crashing), quarantine.onCrash(listOf(shared, crashing), later, later + 10))
+        assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(crashing), later + QUARANTINE_MILLIS))
+        assertEquals(QuarantineDecision.Admit, quarantine.admit(listOf(shared), later + 11))
     }
 
     @Test
@@ -91,14 +93,28 @@
         quarantine.onCrash(listOf(crashing), 0, 100)
         val other = CrashQuarantine(capacity = 10)
         val news = quarantine.blamedTraits(110)
-        assertEquals(news, other.onBlamedElsewhere(news, 5_000))
-        assertEquals(emptyList(), other.onBlamedElsewhere(news, 5_001))
+        assertEquals(news, other.onBlamedElsewhere(news, 5_000).accepted)
+        assertEquals(emptyList(), other.onBlamedElsewhere(news, 5_001).accepted)
         assertIs<QuarantineDecision.Refuse>(other.admit(listOf(crashing), 5_002))
         assertEquals(listOf<RequestTrait>(crashing), other.onOutputElsewhere(listOf(crashing, shared), 5_003))
-        assertEquals(emptyList(), other.onBlamedElsewhere(quarantine.blamedTraits(120), 5_004))
+        assertEquals(emptyList(), other.onBlamedElsewhere(quarantine.blamedTraits(120), 5_004).accepted)
         assertEquals(QuarantineDecision.Admit, other.admit(listOf(crashing), 5_005))
     }
 
+    @Test
+    fun `an instance that has seen output of one of two blamed parts refutes the blame of that part`() {
+        quarantine.onCrash(listOf(shared, crashing), 0, 100)
+        val other = CrashQuarantine(capacity = 10)
+        other.onOutput(listOf(shared), 4_000)
+        val review = other.onBlamedElsewhere(quarantine.blamedTraits(110), 5_000)
+        assertEquals(listOf<RequestTrait>(shared), review.refuted)
+        assertEquals(listOf<RequestTrait>(crashing), review.accepted.map { it.trait })
+        assertEquals(QuarantineDecision.Admit, other.admit(listOf(shared), 5_001))
+        quarantine.onOutputElsewhere(review.refuted, 120)
+        val refusal = assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(shared, crashing), 130))
+        assertEquals(100 + UNPROVEN_TRIAL_DELAY_MILLIS - 130, refusal.retryAfterMillis)
+    }
+
     @Test
     fun `a flood of new parts does not end a quarantine`() {
         quarantine.onCrash(listOf(crashing), 0, 100)
@@ -136,7 +152,8 @@
                 crashes += 1
                 groupUpMillis = nowMillis + 3_200
                 instance.onCrash(traits, nowMillis, nowMillis + 5)
-                instances.forEach { it.onBlamedElsewhere(instance.blamedTraits(nowMillis + 6), nowMillis + 6) }
+                val reviews = instances.map { it.onBlamedElsewhere(instance.blamedTraits(nowMillis + 6), nowMillis + 6) }
+                reviews.forEach { review -> instances.forEach { it.onOutputElsewhere(review.refuted, nowMillis + 7) } }
             } else {
                 val cleared = instance.onOutput(traits, nowMillis + 150)
                 instances.forEach { it.onOutputElsewhere(cleared, nowMillis + 151) }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
@@ -117,14 +117,15 @@
         publish(Frame.QuarantineNews(news, emptyList()))
     }
 
-    /** Takes over [news] of another entry; returns what of it was new, or null. */
+    /** Takes over [news] of another entry, and publishes what of it is refuted by output that this entry has seen; returns what was new. */
     fun onNews(news: Frame.QuarantineNews, peer: String): Frame.QuarantineNews? {
         val now = nowMillis()
-        val blamed = quarantine.onBlamedElsewhere(news.blamed.take(MAX_TRAITS_PER_FRAME), now)
+        val review = quarantine.onBlamedElsewhere(news.blamed.take(MAX_TRAITS_PER_FRAME), now)
         val cleared = quarantine.onOutputElsewhere(news.cleared.take(MAX_TRAITS_PER_FRAME), now)
-        if (blamed.isNotEmpty()) logBlamed(blamed, "peer $peer")
-        if (cleared.isNotEmpty()) logCleared(cleared, "peer $peer")
-        return if (blamed.isEmpty() && cleared.isEmpty()) null else Frame.QuarantineNews(blamed, cleared)
+        logBlamed(review.accepted, "peer $peer")
+        logCleared(cleared, "peer $peer")
+        if (review.refuted.isNotEmpty()) publish(Frame.QuarantineNews(emptyList(), review.refuted))
+        return if (review.accepted.isEmpty() && cleared.isEmpty()) null else Frame.QuarantineNews(review.accepted, cleared)
     }
 
     /** Returns the traits that are blamed now, for an entry that has just connected; null if there is none. */
@@ -143,7 +144,8 @@
                 LogEvent.TRAIT_BLAMED,
                 LogField("trait", "${it.trait}"),
                 LogField("crashes", "${it.crashes}"),
-                LogField("trialInMillis", "${it.trialInMillis}"),
+                LogField("isQuarantined", "${it.isQuarantined}"),
+                LogField("jointParts", it.jointParts.joinToString(",")),
                 LogField("source", source),
             )
         }
