A record nested deeply no longer ends the thread that reads it: the nesting is checked before parsing

Entries stopped following the targets, and served from a table that grew old, after another writer had left one record nested some thousand levels deep among those of the targets.

Cause: the JSON parser calls itself for each array. A record may have 256 KB, which is 100,000 levels; the stack of a thread has 256 KB. The StackOverflowError is no SerializationException, so nothing caught it, and it ended the thread. Readers of settings and bundles, of the configuration stream and of callers' bodies parsed in the same way.

Callers that handle malformed JSON handle it as before.

--- a/core/src/main/kotlin/io/jaybeam/core/config/ChangeSigner.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/config/ChangeSigner.kt
@@ -3,6 +3,7 @@
  */
 package io.jaybeam.core.config
 
+import io.jaybeam.core.json.checkJsonDepth
 import kotlinx.serialization.SerializationException
 import java.security.GeneralSecurityException
 import java.security.KeyFactory
@@ -50,7 +51,9 @@
             signature.initVerify(key)
             signature.update(signed.payload.encodeToByteArray())
             val isValid = signature.verify(Base64.getDecoder().decode(signed.signature))
-            if (isValid) recordJson.decodeFromString(ConfigChange.serializer(), signed.payload) else null
+            if (!isValid) return null
+            checkJsonDepth(signed.payload)
+            recordJson.decodeFromString(ConfigChange.serializer(), signed.payload)
         } catch (e: GeneralSecurityException) {
             null
         } catch (e: SerializationException) {
--- a/core/src/main/kotlin/io/jaybeam/core/json/JsonObjectReader.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/json/JsonObjectReader.kt
@@ -8,7 +8,6 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
@@ -137,7 +136,7 @@
 public fun <T> readJson(text: String, read: JsonObjectReader.() -> T): Either<List<JsonFault>, T> {
     val element =
         try {
-            Json.parseToJsonElement(text)
+            parseJson(text)
         } catch (e: SerializationException) {
             val problem = "is not valid JSON: ${e.message?.lineSequence()?.first()}"
             return listOf(JsonFault("$", problem, "correct the syntax at that position")).left()
--- a/core/src/test/kotlin/io/jaybeam/core/config/BundleTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/config/BundleTest.kt
@@ -31,6 +31,11 @@
         assertEquals("$", parseBundle("{\"a\": ").leftOrNull()?.single()?.path)
     }
 
+    @Test
+    fun `reports JSON that is nested too deeply as a single fault at the root`() {
+        assertEquals("$", parseBundle("[".repeat(100_000) + "]".repeat(100_000)).leftOrNull()?.single()?.path)
+    }
+
     @Test
     fun `rejects a bundle truncated at any character without throwing`() {
         validBundle.indices.forEach { end -> assertTrue(parseBundle(validBundle.take(end)).isLeft(), "truncated at $end") }
--- a/entry/src/main/kotlin/io/jaybeam/entry/calls/CallReader.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/calls/CallReader.kt
@@ -11,10 +11,10 @@
 import io.jaybeam.core.config.Bundle
 import io.jaybeam.core.config.PriceTier
 import io.jaybeam.core.config.ServiceKind
+import io.jaybeam.core.json.parseJson
 import io.jaybeam.core.ticket.decodeTicketOrNull
 import io.jaybeam.wire.HeaderField
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import java.util.UUID
@@ -107,7 +107,7 @@
         val remedy = "send a JSON object with the members model and messages"
         val json =
             try {
-                Json.parseToJsonElement(body.decodeToString())
+                parseJson(body.decodeToString())
             } catch (e: SerializationException) {
                 return badRequest("the body is not JSON: ${e.message?.lineSequence()?.first()}", remedy).left()
             }
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/config/ConfigController.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/config/ConfigController.kt
@@ -10,6 +10,7 @@
 import io.jaybeam.core.config.ConfigRecord
 import io.jaybeam.core.config.ConfigState
 import io.jaybeam.core.config.recordJson
+import io.jaybeam.core.json.checkJsonDepth
 import io.jaybeam.runtime.log.LogClient
 import io.jaybeam.runtime.log.LogPage
 import io.jaybeam.runtime.observe.EventLog
@@ -28,6 +29,7 @@
 /** Decodes a record of the configuration stream; returns null if [text] is not a valid record. */
 public fun decodeConfigRecordOrNull(text: String): ConfigRecord? =
     try {
+        checkJsonDepth(text)
         recordJson.decodeFromString(ConfigRecord.serializer(), text)
     } catch (e: SerializationException) {
         null
