A follower's loop outlives any failure of a step, logs it and reads the latest records next

An entry stopped following the targets for good, without a log line, once a single read had thrown anything that its code did not expect. Workers of the sides survived exceptions, but not an Error.

Cause: the loops of FleetWatcher, PeerExchange and CoordinatorElection caught nothing, WorkerThread and ConfigController only Exception.

Evidence, before the change: in FleetWatcherTest, the thread follow-targets ended with the IllegalArgumentException of a read, and the targets were not read again within 2 s; WorkerThreadTest ended with "the thread has ended" after a StackOverflowError. The loops of peers, membership and election were found by reading, and no run showed them to fail.

After a read that threw, the follower reads the latest records instead of repeating the same read, as these may lack the one that causes it.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetWatcher.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetWatcher.kt
@@ -10,6 +10,7 @@
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
+import io.jaybeam.runtime.repeatStep
 import kotlin.concurrent.thread
 import kotlin.random.Random
 
@@ -68,12 +69,17 @@
         private var isStoreLost = false
         private var mustReadAll = false
 
-        fun run() {
-            while (true) read(mustReadAll, isStoreLost).fold(::onFailure) { onSuccess() }
+        fun run() = repeatStep("follow-$name", events, step = ::readOnce)
+
+        private fun readOnce() {
+            val readsAll = mustReadAll
+            // In force if the read throws: the latest records may lack the one that causes it.
+            mustReadAll = true
+            read(readsAll, isStoreLost).fold({ onFailure(it, readsAll) }) { onSuccess() }
         }
 
-        private fun onFailure(fault: StoreFault) {
-            mustReadAll = mustReadAll || fault is StoreFault.Expired
+        private fun onFailure(fault: StoreFault, readsAll: Boolean) {
+            mustReadAll = readsAll || fault is StoreFault.Expired
             if (!isStoreLost) events.write(LogEvent.STORE_LOST, LogField("follower", name), LogField("detail", fault.detail))
             isStoreLost = true
             Thread.sleep(RETRY_DELAY_MILLIS)
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/PeerExchange.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/PeerExchange.kt
@@ -12,6 +12,7 @@
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
+import io.jaybeam.runtime.repeatStep
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkHandler
@@ -86,7 +87,7 @@
 
     private fun run() {
         var nextConnectNanos = System.nanoTime()
-        while (true) {
+        repeatStep("peers", events) {
             broadcast()
             if (System.nanoTime() >= nextConnectNanos) {
                 nextConnectNanos = System.nanoTime() + CONNECT_INTERVAL_MILLIS * NANOS_PER_MILLI
@@ -99,7 +100,7 @@
     /** Renews this entry's registration in the store, and looks up another entry there while this one has no peer. */
     private fun maintainMembership() {
         var generation = 0L
-        while (true) {
+        repeatStep("membership", events) {
             store.joinCandidates(GROUP, address, generation, MEMBERSHIP_LIFETIME_MILLIS).onRight { generation = it.generation }
             if (peers.isEmpty()) store.coordinator(GROUP).onRight { peer -> peer?.takeIf { it != address }?.let { peerAddresses += it } }
             Thread.sleep(JOIN_INTERVAL_MILLIS)
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetWatcherTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetWatcherTest.kt
@@ -22,6 +22,18 @@
 // Time within which a new configuration must be in force.
 private const val MAX_CONFIG_DELAY_MILLIS = 2_000L
 
+/** A store whose reads of the targets throw [failure] until it is null. */
+private class ThrowingStore(
+    private val store: FleetStore,
+) : FleetStore by store {
+    @Volatile
+    var failure: Throwable? = null
+
+    override fun readTargetsFrom(position: Long) = failure?.let { throw it } ?: store.readTargetsFrom(position + 1)
+
+    override fun readLatestTargets() = failure?.let { throw it } ?: store.readLatestTargets()
+}
+
 /** A store that can stop answering. A call that starts during an outage gets no answer even after it, and times out. */
 private class UnresponsiveStore : FleetStore {
     @Volatile
@@ -80,6 +92,21 @@
         await(MAX_CONFIG_DELAY_MILLIS) { cache.snapshot.configVersion == 2L }
     }
 
+    @Test
+    fun `the targets are followed again after a read that threw an error`() {
+        val events = EventLog("test", Clock.System)
+        val cache = FleetCache(events)
+        val store = ThrowingStore(UnresponsiveStore())
+        FleetWatcher(store, cache, events).start()
+        for (failure in listOf(IllegalArgumentException("unexpected"), StackOverflowError(), OutOfMemoryError("test"))) {
+            store.failure = failure
+            Thread.sleep(MAX_CONFIG_DELAY_MILLIS)
+            store.failure = null
+            val readAtNanos = cache.snapshot.targetsReadAtNanos
+            await(MAX_CONFIG_DELAY_MILLIS) { cache.snapshot.targetsReadAtNanos > readAtNanos }
+        }
+    }
+
     private fun await(timeoutMillis: Long, condition: () -> Boolean) {
         val deadlineNanos = System.nanoTime() + timeoutMillis * NANOS_PER_MILLI
         while (!condition() && System.nanoTime() < deadlineNanos) Thread.sleep(5)
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/WorkerThread.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/WorkerThread.kt
@@ -4,8 +4,6 @@
 package io.jaybeam.runtime
 
 import io.jaybeam.runtime.observe.EventLog
-import io.jaybeam.runtime.observe.LogEvent
-import io.jaybeam.runtime.observe.LogField
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -13,6 +11,8 @@
 /**
  * Handles messages of type [M] one at a time, in order, and calls [onTick] about every [tickMillis].
  *
+ * A message or tick that throws, an [Error] included, is logged, and the thread continues with the next one.
+ *
  * State that is used only by [onMessage] and [onTick] needs no lock.
  */
 public class WorkerThread<M : Any>(
@@ -62,8 +62,8 @@
                 }
             } catch (e: InterruptedException) {
                 return
-            } catch (e: Exception) {
-                events.write(LogEvent.UNEXPECTED_FAILURE, LogField("duty", name), LogField("detail", e.stackTraceToString()))
+            } catch (e: Throwable) {
+                events.writeUnexpectedFailure(name, e)
             }
         }
     }
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/config/ConfigController.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/config/ConfigController.kt
@@ -16,6 +16,7 @@
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
+import io.jaybeam.runtime.repeatStep
 import kotlinx.serialization.SerializationException
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
@@ -100,24 +101,18 @@
     }
 
     private fun tailLog() {
-        while (isRunning) {
-            try {
-                log.read(CONFIG_STREAM, version() + 1, READ_WAIT_MILLIS).fold(
-                    { error ->
-                        updateLogReachable(false, error.message)
-                        Thread.sleep(RETRY_DELAY_MILLIS)
-                    },
-                    { page ->
-                        updateLogReachable(true, "")
-                        applyPage(page)
-                        appendSnapshotIfDue()
-                    },
-                )
-            } catch (e: InterruptedException) {
-                return
-            } catch (e: Exception) {
-                events.write(LogEvent.UNEXPECTED_FAILURE, LogField("duty", "config-tail"), LogField("detail", e.toString()))
-            }
+        repeatStep("config-tail", events, { isRunning }) {
+            log.read(CONFIG_STREAM, version() + 1, READ_WAIT_MILLIS).fold(
+                { error ->
+                    updateLogReachable(false, error.message)
+                    Thread.sleep(RETRY_DELAY_MILLIS)
+                },
+                { page ->
+                    updateLogReachable(true, "")
+                    applyPage(page)
+                    appendSnapshotIfDue()
+                },
+            )
         }
     }
 
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
@@ -10,6 +10,7 @@
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
+import io.jaybeam.runtime.repeatStep
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkHandler
@@ -68,7 +69,7 @@
     }
 
     private fun runLoop() {
-        while (!isClosed) {
+        repeatStep("election", events, { !isClosed }) {
             val groupName = rankAgent.groupName
             if (groupName == null) {
                 Thread.sleep(GROUP_POLL_INTERVAL_MILLIS)
