--- a/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
@@ -28,7 +28,26 @@
     val remainingColdStartMillis: Long,
     @SerialName("bornAtEpochMillis")
     val startedAtEpochMillis: Long,
-)
+) {
+    /** Returns why the target cannot be used, or null if it can. Targets of other writers and of peers are checked with it. */
+    public fun faultOrNull(): String? =
+        when {
+            port !in 1..MAX_PORT -> "port is not within 1..$MAX_PORT"
+            batchSlots !in 1..MAX_BATCH_SLOTS -> "batch slots are not within 1..$MAX_BATCH_SLOTS"
+            remainingColdStartMillis !in 0..MAX_COLD_START_MILLIS -> "cold start is not within 0..$MAX_COLD_START_MILLIS ms"
+            startedAtEpochMillis !in 0..MAX_EPOCH_MILLIS -> "start is not within 0..$MAX_EPOCH_MILLIS ms"
+            else -> null
+        }
+
+    private companion object {
+        const val MAX_PORT = 65_535
+        const val MAX_BATCH_SLOTS = 65_536
+        const val MAX_COLD_START_MILLIS = 86_400_000L
+
+        /** Largest integer up to which a JSON number is exact. */
+        const val MAX_EPOCH_MILLIS = 9_007_199_254_740_991L
+    }
+}
 
 /** A change to the table of targets. */
 public sealed class TargetUpdate {
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
@@ -5,6 +5,7 @@
 package io.jaybeam.entry.direct
 
 import io.jaybeam.core.fleet.FleetConfig
+import io.jaybeam.core.fleet.FleetTarget
 import io.jaybeam.core.fleet.LogPage
 import io.jaybeam.core.fleet.OperatorUpdate
 import io.jaybeam.core.fleet.RouteTable
@@ -115,7 +116,7 @@
             }
             val targets = state.targets
             if (targets != null && state.targetsPosition > snapshot.targetsPosition) {
-                setTargets(TargetTable(targets.associateBy { it.id }), state.targetsPosition)
+                setTargets(TargetTable(usableTargets(targets).associateBy { it.id }), state.targetsPosition)
             }
         }
     }
@@ -161,6 +162,14 @@
         }
     }
 
+    /** Returns those of a peer's [targets] that can be used: a peer of an earlier release may have accepted others. */
+    private fun usableTargets(targets: List<FleetTarget>): List<FleetTarget> =
+        targets.filter { target ->
+            val fault = target.faultOrNull()
+            if (fault != null) events.write(LogEvent.RECORD_UNUSABLE, LogField("detail", "target ${target.id} of a peer: $fault"))
+            fault == null
+        }
+
     private fun logDecodeErrors(page: LogPage<*>) =
         page.decodeErrors.forEach { events.write(LogEvent.RECORD_UNUSABLE, LogField("detail", it)) }
 }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
@@ -66,6 +66,14 @@
         assertEquals(setOf("b"), cache.snapshot.targets.byId.keys)
     }
 
+    @Test
+    fun `an unusable target of a peer costs only itself`() {
+        val unusable = listOf(target("b").copy(port = 65_536), target("c").copy(remainingColdStartMillis = Long.MAX_VALUE))
+        cache.onPeerState(Frame.FleetState(null, emptyList(), UNREAD, unusable + target("a"), 14))
+        assertEquals(setOf("a"), cache.snapshot.targets.byId.keys)
+        assertEquals(14, cache.snapshot.targetsPosition)
+    }
+
     private fun newCache() = FleetCache(EventLog("test", Clock.System)) { nowNanos }
 
     private fun config(version: Long) = FleetConfig(version, emptyList(), emptyList(), emptyList(), CallerLimits(1, 1, 1, 1))
