A record with a host that is no IP address names no target

A request that chose the target of such a record was refused as MALFORMED_TARGET, without a second target. A side that reads the ranks of its service directly (RemoteRankClient) got an IllegalArgumentException for its address and left out all ranks after it, each time.

Cause: anything before the last colon of addr was taken for a host: a name, a user and a host, a path, control characters.

Evidence, before the change: ForeignRecordTest ("a host that is no IP address") accepted example.com:80. What callers and sides saw was found by reading.

FleetTarget.faultOrNull refuses hosts that are neither an IPv4 address nor an IPv6 address in brackets; nothing is looked up.

--- a/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
@@ -32,6 +32,7 @@
     /** Returns why the target cannot be used, or null if it can. Targets of other writers and of peers are checked with it. */
     public fun faultOrNull(): String? =
         when {
+            !isIpAddress(host) -> "host is not an IP address"
             port !in 1..MAX_PORT -> "port is not within 1..$MAX_PORT"
             batchSlots !in 1..MAX_BATCH_SLOTS -> "batch slots are not within 1..$MAX_BATCH_SLOTS"
             remainingColdStartMillis !in 0..MAX_COLD_START_MILLIS -> "cold start is not within 0..$MAX_COLD_START_MILLIS ms"
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
@@ -19,6 +19,8 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
+private const val MAX_LOGGED_ID_CHARS = 80
+
 /** Holds the latest [FleetSnapshot] of one entry. Thread-safe. */
 internal class FleetCache(
     private val events: EventLog,
@@ -166,7 +168,14 @@
     private fun usableTargets(targets: List<FleetTarget>): List<FleetTarget> =
         targets.filter { target ->
             val fault = target.faultOrNull()
-            if (fault != null) events.write(LogEvent.RECORD_UNUSABLE, LogField("detail", "target ${target.id} of a peer: $fault"))
+            if (fault !=
+                null
+            ) {
+                events.write(
+                    LogEvent.RECORD_UNUSABLE,
+                    LogField("detail", "target ${target.id.take(MAX_LOGGED_ID_CHARS)} of a peer: $fault"),
+                )
+            }
             fault == null
         }
 
