A record with an id that no header can carry names no target

Each request for which the target of such a record was chosen failed with an exception of the HTTP client; the id also broke up log lines of any length.

Cause: the id of a target is the key of its record, which is any bytes, and is sent in the header Expect-Instance.

The failing requests were found by reading (TargetSender.send, Request.Builder.addHeader).

--- a/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/FleetTarget.kt
@@ -32,6 +32,7 @@
     /** Returns why the target cannot be used, or null if it can. Targets of other writers and of peers are checked with it. */
     public fun faultOrNull(): String? =
         when {
+            id.length !in 1..MAX_ID_CHARS || id.any { it !in VISIBLE_ASCII } -> "id is not of 1 to $MAX_ID_CHARS visible ASCII characters"
             !isIpAddress(host) -> "host is not an IP address"
             port !in 1..MAX_PORT -> "port is not within 1..$MAX_PORT"
             batchSlots !in 1..MAX_BATCH_SLOTS -> "batch slots are not within 1..$MAX_BATCH_SLOTS"
@@ -41,6 +42,10 @@
         }
 
     private companion object {
+        const val MAX_ID_CHARS = 255
+
+        /** Requests carry the id in a header, which can contain no other characters. */
+        val VISIBLE_ASCII = '!'..'~'
         const val MAX_PORT = 65_535
         const val MAX_BATCH_SLOTS = 65_536
         const val MAX_COLD_START_MILLIS = 86_400_000L
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
@@ -68,7 +68,8 @@
 
     @Test
     fun `an unusable target of a peer costs only itself`() {
-        val unusable = listOf(target("b").copy(port = 65_536), target("c").copy(remainingColdStartMillis = Long.MAX_VALUE))
+        val unusable =
+            listOf(target("\u0001"), target("b").copy(port = 65_536), target("c").copy(remainingColdStartMillis = Long.MAX_VALUE))
         cache.onPeerState(Frame.FleetState(null, emptyList(), UNREAD, unusable + target("a"), 14))
         assertEquals(setOf("a"), cache.snapshot.targets.byId.keys)
         assertEquals(14, cache.snapshot.targetsPosition)
