--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -12,6 +12,7 @@
 import io.jaybeam.runtime.http.HttpTimeouts
 import io.jaybeam.runtime.http.singleAttemptClient
 import okhttp3.Call
+import okhttp3.ConnectionPool
 import okhttp3.EventListener
 import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 import okhttp3.OkHttpClient
@@ -19,6 +20,8 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Proxy
 import java.util.concurrent.TimeUnit
 
 // A target on the same network accepts a connection within a few ms; the remaining time allows for one lost packet.
@@ -56,6 +59,9 @@
     private class Progress {
         @Volatile
         var isRequestStarted = false
+
+        @Volatile
+        var isNewConnection = false
     }
 
     private val client: OkHttpClient =
@@ -64,6 +70,9 @@
             .eventListener(ProgressListener)
             .build()
 
+    /** Sends each request over a connection of its own. */
+    private val unpooledClient = client.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS)).build()
+
     /**
      * Sends [call] to [target] and returns when the head of the answer was received or the request failed. Cancels the request
      * when the caller of [response] closes its connection.
@@ -89,24 +98,31 @@
                 .addHeaders(if (lastEventId == null) headers else withLastEventId(headers, lastEventId))
                 .tag(Progress::class.java, progress)
                 .build()
-        val httpCall = client.newCall(request)
+        // Without an id, only the first answer on a connection is known to belong to its request.
+        val httpCall = (if (call.caller.requestId == null) unpooledClient else client).newCall(request)
         httpCall.timeout().timeout(maxOf(remainingMillis, 1), TimeUnit.MILLISECONDS)
         response.watch(httpCall::cancel)
         return try {
-            outcomeOf(call, httpCall, httpCall.execute())
+            outcomeOf(call, httpCall, httpCall.execute(), progress)
         } catch (e: IOException) {
             val detail = "${target.id}: ${e.javaClass.simpleName}: ${e.message}"
             if (progress.isRequestStarted) SendOutcome.Unknown(detail) else SendOutcome.NotRun(detail)
         }
     }
 
-    private fun outcomeOf(call: DirectCall, httpCall: Call, received: Response): SendOutcome {
+    private fun outcomeOf(
+        call: DirectCall,
+        httpCall: Call,
+        received: Response,
+        progress: Progress,
+    ): SendOutcome {
         val answer = decodeTargetAnswer(received.code, received::header)
-        if (call.caller.requestId != null && answer.requestId != null && answer.requestId != call.caller.requestId) {
-            // The answer belongs to an earlier request on this connection, so the connection must not be reused.
+        val belongsToCall = if (answer.requestId == null) progress.isNewConnection else answer.requestId == call.caller.requestId
+        if (!belongsToCall) {
+            // The answer may belong to an earlier request on this connection, so the connection must not be reused.
             httpCall.cancel()
             received.close()
-            return SendOutcome.Unknown("answer belongs to request ${answer.requestId}")
+            return SendOutcome.Unknown("answer ${received.code} belongs to request ${answer.requestId ?: "of unknown id"}")
         }
         if (answer.isNotRun) {
             received.close()
@@ -131,6 +147,10 @@
     }
 
     private object ProgressListener : EventListener() {
+        override fun connectStart(call: Call, inetSocketAddress: InetSocketAddress, proxy: Proxy) {
+            call.request().tag(Progress::class.java)?.isNewConnection = true
+        }
+
         override fun requestHeadersStart(call: Call) {
             call.request().tag(Progress::class.java)?.isRequestStarted = true
         }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
@@ -195,8 +195,9 @@
         path: String,
         key: String = "key-1",
         body: String = "",
+        requestId: String? = "r1",
     ): CallerAnswer {
-        send(method, path, key, body)
+        send(method, path, key, body, requestId = requestId)
         return read()
     }
 
@@ -207,9 +208,10 @@
         body: String = "",
         version: String = "HTTP/1.1",
         headers: List<String> = emptyList(),
+        requestId: String? = "r1",
     ) {
         val head =
-            listOf("$method $path $version", "Host: shop.example", "Request-Id: r1", "Deadline-Ms: 5000") +
+            listOfNotNull("$method $path $version", "Host: shop.example", requestId?.let { "Request-Id: $it" }, "Deadline-Ms: 5000") +
                 listOf("Authorization: Bearer $key", "Content-Length: ${body.length}") + headers
         socket.getOutputStream().write((head.joinToString("\r\n") + "\r\n\r\n" + body).encodeToByteArray())
     }
--- /dev/null
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/ForeignAnswerTest.kt
@@ -0,0 +1,71 @@
+/*
+ * An answer on a kept connection may belong to an earlier request. It must not be taken for the answer to the current one.
+ */
+package io.jaybeam.entry.direct
+
+import java.io.OutputStream
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotSame
+import kotlin.test.assertSame
+import kotlin.test.assertTrue
+
+internal class ForeignAnswerTest : EntryFixture() {
+    /** A target that answers its first request properly and all later ones with [head]. */
+    private fun targetWithLaterAnswer(vararg head: String): ScriptedTarget {
+        var isFirst = true
+        return scriptedTarget { request, out ->
+            if (isFirst) out.answer(request, "200 OK", "hold", "Response-Seal: s") else out.writeAnswer(*head)
+            isFirst = false
+        }
+    }
+
+    private fun OutputStream.writeAnswer(vararg head: String) {
+        write((head.toList() + "Content-Length: 0").joinToString("\r\n", postfix = "\r\n\r\n").encodeToByteArray())
+        flush()
+    }
+
+    private fun assertSecondCallFails(target: ScriptedTarget) {
+        val port = startEntry(target)
+        assertEquals(200, connectCaller(port).call("POST", "/once/x", requestId = "r1").status)
+        assertEquals(502, connectCaller(port).call("POST", "/once/x", requestId = "r2").status)
+        assertSame(target.requests[0].socket, target.requests[1].socket)
+        assertTrue(target.requests[1].awaitClose(300), "the connection must not be reused")
+    }
+
+    @Test
+    fun `a refusal without an id on a kept connection does not prove that the request did not run`() =
+        assertSecondCallFails(targetWithLaterAnswer("HTTP/1.1 503 Service Unavailable", "Not-Run: 1"))
+
+    @Test
+    fun `a 421 without an id on a kept connection does not prove that the request did not run`() =
+        assertSecondCallFails(targetWithLaterAnswer("HTTP/1.1 421 Misdirected Request"))
+
+    @Test
+    fun `a refusal of another request does not prove that the request did not run`() =
+        assertSecondCallFails(targetWithLaterAnswer("HTTP/1.1 503 Service Unavailable", "Not-Run: 1", "Request-Id: r1"))
+
+    @Test
+    fun `a success without an id on a kept connection is not relayed`() =
+        assertSecondCallFails(targetWithLaterAnswer("HTTP/1.1 200 OK", "Response-Seal: s"))
+
+    @Test
+    fun `a refusal without an id as the first answer on a connection belongs to its request`() {
+        val refusing = scriptedTarget { _, out -> out.writeAnswer("HTTP/1.1 503 Service Unavailable", "Not-Run: 1") }
+        assertEquals(503, connectCaller(startEntry(refusing)).call("POST", "/once/x").status)
+    }
+
+    @Test
+    fun `an answer with an id does not belong to a request without one`() {
+        val mismatched = scriptedTarget { _, out -> out.writeAnswer("HTTP/1.1 200 OK", "Response-Seal: s", "Request-Id: r0") }
+        assertEquals(502, connectCaller(startEntry(mismatched)).call("POST", "/once/x", requestId = null).status)
+    }
+
+    @Test
+    fun `a request without an id is sent over a connection of its own`() {
+        val target = scriptedTarget { _, out -> out.writeAnswer("HTTP/1.1 200 OK", "Response-Seal: s") }
+        val port = startEntry(target)
+        repeat(2) { assertEquals(200, connectCaller(port).call("POST", "/once/x", requestId = null).status) }
+        assertNotSame(target.requests[0].socket, target.requests[1].socket)
+    }
+}
