A request is not written to a kept connection that has bytes of no request

Callers saw: 502 for a request that must run once, or a retry out of the budget, though the target was sound but for an answer that it had written once too often, or late, before the request was sent. Cause: OkHttp does not look for bytes on an idle connection; it writes the request and reads them as its answer. That answer is recognised as foreign, but the request may then run and its outcome is unknown. Evidence: ForeignAnswerTest, "a request is sent over a new connection if the kept one has bytes that belong to no request" failed before with 502 instead of 200. Change: the socket records what is read while its connection is idle (OkHttp reads there when it checks the connection) and looks for bytes that wait. Before a request is written, such a connection is closed, and the request goes over a new one. Not covered: bytes that arrive together with the end of the answer before are in OkHttp's buffer and end in 502 as before.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -12,6 +12,7 @@
 import io.jaybeam.runtime.http.HttpTimeouts
 import io.jaybeam.runtime.http.singleAttemptClient
 import okhttp3.Call
+import okhttp3.Connection
 import okhttp3.ConnectionPool
 import okhttp3.EventListener
 import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
@@ -68,7 +69,11 @@
         singleAttemptClient(HttpTimeouts(connectMillis = CONNECT_TIMEOUT_MILLIS, readMillis = 0), MAX_IDLE_CONNECTIONS)
             .newBuilder()
             .eventListener(ProgressListener)
-            .build()
+            .socketFactory(TargetSocketFactory)
+            .addNetworkInterceptor { chain ->
+                (chain.connection()?.socket() as? TargetSocket)?.onRequestStart()
+                chain.proceed(chain.request())
+            }.build()
 
     /** Sends each request over a connection of its own. */
     private val unpooledClient = client.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS)).build()
@@ -99,17 +104,30 @@
                 .tag(Progress::class.java, progress)
                 .build()
         // Without an id, only the first answer on a connection is known to belong to its request.
-        val httpCall = (if (call.caller.requestId == null) unpooledClient else client).newCall(request)
-        httpCall.timeout().timeout(maxOf(remainingMillis, 1), TimeUnit.MILLISECONDS)
-        response.watch(httpCall::cancel)
+        val firstClient = if (call.caller.requestId == null) unpooledClient else client
         return try {
-            outcomeOf(call, httpCall, httpCall.execute(), progress)
+            try {
+                execute(call, firstClient.newCall(request), progress, response)
+            } catch (e: UnexpectedBytesException) {
+                execute(call, unpooledClient.newCall(request), progress, response)
+            }
         } catch (e: IOException) {
             val detail = "${target.id}: ${e.javaClass.simpleName}: ${e.message}"
             if (progress.isRequestStarted) SendOutcome.Unknown(detail) else SendOutcome.NotRun(detail)
         }
     }
 
+    private fun execute(
+        call: DirectCall,
+        httpCall: Call,
+        progress: Progress,
+        response: DirectResponse,
+    ): SendOutcome {
+        httpCall.timeout().timeout(maxOf(call.remainingMillis(System.nanoTime()), 1), TimeUnit.MILLISECONDS)
+        response.watch(httpCall::cancel)
+        return outcomeOf(call, httpCall, httpCall.execute(), progress)
+    }
+
     private fun outcomeOf(
         call: DirectCall,
         httpCall: Call,
@@ -154,6 +172,10 @@
         override fun requestHeadersStart(call: Call) {
             call.request().tag(Progress::class.java)?.isRequestStarted = true
         }
+
+        override fun connectionReleased(call: Call, connection: Connection) {
+            (connection.socket() as? TargetSocket)?.onIdle()
+        }
     }
 }
 
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/ForeignAnswerTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/ForeignAnswerTest.kt
@@ -4,6 +4,7 @@
 package io.jaybeam.entry.direct
 
 import java.io.OutputStream
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotSame
@@ -68,4 +69,24 @@
         repeat(2) { assertEquals(200, connectCaller(port).call("POST", "/once/x", requestId = null).status) }
         assertNotSame(target.requests[0].socket, target.requests[1].socket)
     }
+
+    @Test
+    fun `a request is sent over a new connection if the kept one has bytes that belong to no request`() {
+        for ((method, path) in listOf("POST" to "/once/x", "GET" to "/safe/x")) {
+            val target =
+                scriptedTarget { request, out ->
+                    out.answer(request, "200 OK", "hold", "Response-Seal: s")
+                    thread {
+                        Thread.sleep(50)
+                        out.answer(request, "503 Service Unavailable", "", "Not-Run: 1")
+                    }
+                }
+            val port = startEntry(target)
+            assertEquals(200, connectCaller(port).call(method, path, requestId = "r1").status)
+            Thread.sleep(150)
+            assertEquals(200, connectCaller(port).call(method, path, requestId = "r2").status, method)
+            assertEquals(listOf("r1", "r2"), target.requests.map { it.headers["request-id"] })
+            assertTrue(target.requests[0].awaitClose(300), "the connection must not be reused")
+        }
+    }
 }
