A status that promises "not run" is relayed only if the target states it (REFUSED)

Callers saw: 408, 429 or 503 for a request that may have run; they send it again. Cause: these statuses of a target were relayed as they came, also without the header that alone states that the request did not run. Change: such an answer is an unknown outcome, 502 unless the request may run again and another target answers. This holds for idempotent requests too, for which the answer was relayed, sealed, if the second target failed as well.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -146,6 +146,11 @@
             received.close()
             return SendOutcome.NotRun("target answered ${received.code}", answer.failedTargetId)
         }
+        if (answer.hasNotRunStatus) {
+            // Callers would take this status for the promise that the target did not give.
+            received.close()
+            return SendOutcome.Unknown("target answered ${received.code} and may have run the request")
+        }
         if (received.isSuccessful && !answer.isSealed) {
             // A target that crashes may close its connection after the head, which looks like an empty answer.
             httpCall.cancel()
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/ForeignAnswerTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/ForeignAnswerTest.kt
@@ -7,6 +7,7 @@
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNotSame
 import kotlin.test.assertSame
 import kotlin.test.assertTrue
@@ -89,4 +90,14 @@
             assertTrue(target.requests[0].awaitClose(300), "the connection must not be reused")
         }
     }
+
+    @Test
+    fun `a status that promises that a request did not run is relayed only if the target states so`() {
+        for (status in listOf("408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable")) {
+            val failing = scriptedTarget { request, out -> out.answer(request, status, "no", "Response-Seal: s") }
+            val answer = connectCaller(startEntry(failing)).call("POST", "/once/x")
+            assertEquals(502, answer.status, status)
+            assertFalse(answer.headers.any { it.startsWith("Response-Seal") })
+        }
+    }
 }
