A resumed stream continues only with events that follow (ORDER, MIXED)

Callers saw: in the middle of their stream, the head of an answer, JSON or events that they had already received; the stream looked complete. Cause: any sealed 200 was appended to a stream that had broken off, whatever its content type and the ids of its events. Evidence: ResumedStreamTest, 5 of 7 tests failed before, "a resumed stream is not joined with ... an answer that is no event stream, the head of an answer, one that starts again, one that repeats its last event, events of which one is out of order": the bytes were in the stream. Change: the first event of the resumed stream must have an id above the last relayed one, and ids must keep increasing; a stated content type must be that of an event stream. Nothing of the rejected events is relayed or counted. Any other answer, also one with an error status, is a failed attempt, so a further target may continue if the route allows it; otherwise the answer is broken off.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -279,7 +279,7 @@
             outcome.response.use { received ->
                 try {
                     relayed = RelayedAnswer(target.id, targetFramingOf(received), response.framing)
-                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK) {
+                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK && mayBeEventStream(received)) {
                         relayStream(received)
                     } else {
                         relayAnswer(received)
@@ -292,7 +292,7 @@
             }
 
         private fun relayAnswer(received: Response): CallOutcome? {
-            if (response.isCommitted) return CallOutcome.BrokenOff("target answered a resumed stream with status ${received.code}")
+            if (response.isCommitted) throw IOException("answer ${received.code} does not continue the stream")
             val source = received.body.source()
             // A short answer is read completely before it is relayed, so that the request can be retried if reading fails.
             val isLong = source.request(BUFFERED_ANSWER_LIMIT_BYTES)
@@ -342,7 +342,7 @@
                 val outcome = writeToCaller(received.code) { response.sendHead(received.code, headersOf(received, keepLength = false)) }
                 if (outcome is CallOutcome.CallerGone) return outcome
             }
-            splitter.discardPartialEvent()
+            splitter.startAnswer()
             val source = received.body.source()
             val chunk = ByteArray(CHUNK_BYTES)
             while (true) {
@@ -357,6 +357,11 @@
             return CallOutcome.Answered(received.code)
         }
 
+        private fun mayBeEventStream(received: Response): Boolean {
+            val contentType = received.body.contentType() ?: return true
+            return contentType.type == "text" && contentType.subtype == "event-stream"
+        }
+
         private fun targetFramingOf(received: Response): AnswerFraming =
             when {
                 received.header("Content-Length") != null -> AnswerFraming.LENGTH
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/EventStreamSplitter.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/EventStreamSplitter.kt
@@ -1,42 +1,65 @@
 /*
  * Splits the bytes of an event stream into complete events. Only complete events are relayed, so that a stream that is
- * interrupted in the middle of an event can be resumed at another target.
+ * interrupted in the middle of an event can be resumed at another target. A resumed stream continues only with events whose ids
+ * follow: a target may start again, repeat an event or send something else.
  */
 package io.jaybeam.entry.direct
 
+import java.io.IOException
+
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private const val ID_FIELD = "id:"
+private const val COMMENT_PREFIX = ":"
+
+/** The events of a resumed stream do not follow those before its interruption. */
+internal class EventOrderException(
+    lastEventId: Long,
+) : IOException("the resumed stream does not continue after event $lastEventId")
 
 /** Buffers the bytes of a stream and returns them as complete events. Not thread-safe. */
 internal class EventStreamSplitter {
     private var buffer = ByteArray(INITIAL_BUFFER_BYTES)
     private var size = 0
 
+    private var hasEvents = false
+    private var hasEventsOfAnswer = false
+
+    /** Whether events of an earlier answer were returned, so that those of this answer must follow them. */
+    private var isResumed = false
+
     /** Id of the last complete event that was returned; null if there was none with a numeric id. */
     var lastEventId: Long? = null
         private set
 
-    /** Adds the first [count] of [bytes] and returns the complete events in the buffer, or null if there is none. */
+    /** Starts with the answer of another target. Discards the incomplete event in the buffer. */
+    fun startAnswer() {
+        size = 0
+        isResumed = hasEvents
+        hasEventsOfAnswer = false
+    }
+
+    /**
+     * Adds the first [count] of [bytes] and returns the complete events in the buffer, or null if there is none.
+     *
+     * @throws EventOrderException if the stream was resumed and these events do not follow.
+     */
     fun addAndTakeEvents(bytes: ByteArray, count: Int): ByteArray? {
         append(bytes, count)
         val endIndex = endOfLastEvent()
         if (endIndex == 0) return null
         val events = buffer.copyOf(endIndex)
+        val ids = idsIn(events)
+        if (isResumed) requireOrder(ids)
         buffer.copyInto(buffer, 0, endIndex, size)
         size -= endIndex
-        lastIdIn(events)?.let { lastEventId = it }
+        ids.forEach(::recordEvent)
         return events
     }
 
     /** Whether the buffer contains an incomplete event. */
     val hasPartialEvent: Boolean get() = size > 0
 
-    /** Discards the incomplete event in the buffer. */
-    fun discardPartialEvent() {
-        size = 0
-    }
-
     private fun append(bytes: ByteArray, count: Int) {
         if (size + count > buffer.size) buffer = buffer.copyOf(maxOf(buffer.size * 2, size + count))
         bytes.copyInto(buffer, size, 0, count)
@@ -53,14 +76,35 @@
         return 0
     }
 
-    private fun lastIdIn(events: ByteArray): Long? =
-        events
-            .decodeToString()
-            .lineSequence()
-            .lastOrNull { it.startsWith(ID_FIELD) }
-            ?.removePrefix(ID_FIELD)
-            ?.trim()
-            ?.toLongOrNull()
+    private fun requireOrder(ids: List<Long?>) {
+        var previous = lastEventId ?: Long.MIN_VALUE
+        ids.forEachIndexed { index, id ->
+            val isFirst = index == 0 && !hasEventsOfAnswer
+            val follows = if (id == null) !isFirst else id > previous
+            if (!follows) throw EventOrderException(previous)
+            previous = id ?: previous
+        }
+    }
+
+    private fun recordEvent(id: Long?) {
+        hasEvents = true
+        hasEventsOfAnswer = true
+        if (id != null) lastEventId = id
+    }
+
+    /** Returns the id of each of [events]; null for an event without a numeric id. Comments are no events. */
+    private fun idsIn(events: ByteArray): List<Long?> {
+        val ids = mutableListOf<Long?>()
+        var id: Long? = null
+        var isInEvent = false
+        for (line in events.decodeToString().lineSequence()) {
+            if (line.startsWith(ID_FIELD)) id = line.removePrefix(ID_FIELD).trim().toLongOrNull()
+            if (line.isEmpty() && isInEvent) ids += id
+            if (line.isEmpty()) id = null
+            isInEvent = line.isNotEmpty() && (isInEvent || !line.startsWith(COMMENT_PREFIX))
+        }
+        return ids
+    }
 
     private companion object {
         const val INITIAL_BUFFER_BYTES = 1_024
--- /dev/null
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/ResumedStreamTest.kt
@@ -0,0 +1,92 @@
+/*
+ * A stream that broke off continues only with events that follow those that its caller has received.
+ */
+package io.jaybeam.entry.direct
+
+import java.io.OutputStream
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+private const val FIRST_EVENTS = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n"
+private const val EVENT_STREAM = "Content-Type: text/event-stream"
+
+internal class ResumedStreamTest : EntryFixture() {
+    /** Calls an entry with two targets: the one called first breaks off after [events], the other answers with [resume]. */
+    private fun callInterrupted(events: String = FIRST_EVENTS, resume: (ReceivedRequest, OutputStream) -> Unit): CallerAnswer {
+        var isFirst = true
+        val answer = { request: ReceivedRequest, out: OutputStream ->
+            if (isFirst) {
+                isFirst = false
+                out.startStream(request, seal = "first")
+                out.writeChunk(events)
+                request.socket.close()
+            } else {
+                resume(request, out)
+            }
+        }
+        return connectCaller(startEntry(scriptedTarget(answer), scriptedTarget(answer))).call("POST", "/stream/x")
+    }
+
+    private fun OutputStream.endChunks() {
+        write("0\r\n\r\n".encodeToByteArray())
+        flush()
+    }
+
+    private fun assertBrokenOff(answer: CallerAnswer, events: String = FIRST_EVENTS) {
+        assertEquals(events, answer.body)
+        assertFalse(answer.isComplete)
+    }
+
+    private fun assertNotJoinedWith(rest: String, events: String = FIRST_EVENTS) =
+        assertBrokenOff(
+            callInterrupted(events) { request, out ->
+                out.startStream(request, seal = "second")
+                out.writeChunk(rest)
+                out.endChunks()
+            },
+            events,
+        )
+
+    @Test
+    fun `a resumed stream is not joined with an error`() =
+        assertBrokenOff(callInterrupted { request, out -> out.answer(request, "500 Internal Server Error", "failed\n\n", EVENT_STREAM) })
+
+    @Test
+    fun `a resumed stream is not joined with an answer that is no event stream`() =
+        assertBrokenOff(
+            callInterrupted { request, out ->
+                out.answer(request, "200 OK", "id: 2\ndata: {}\n\n", "Response-Seal: s", "Content-Type: application/json")
+            },
+        )
+
+    @Test
+    fun `a resumed stream is not joined with the head of an answer`() =
+        assertNotJoinedWith("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r1\r\nNot-Run: 1\r\n\r\n")
+
+    @Test
+    fun `a resumed stream is not joined with one that starts again`() = assertNotJoinedWith("id: 0\ndata: a\n\nid: 1\ndata: b\n\n")
+
+    @Test
+    fun `a resumed stream is not joined with one that repeats its last event`() =
+        assertNotJoinedWith("id: 1\ndata: b\n\nid: 2\ndata: c\n\n")
+
+    @Test
+    fun `a resumed stream is not joined with events of which one is out of order`() =
+        assertNotJoinedWith("id: 2\ndata: c\n\nid: 1\ndata: b\n\n")
+
+    @Test
+    fun `a resumed stream continues with the events that follow whatever their line ends`() {
+        val rest = "weight-versions: 2\r\nid: 2\r\ndata: c\r\n\r\n: comment\n\nid:3\ndata: d\n\ndata: end\n\n"
+        val answer =
+            callInterrupted("id: 0\r\ndata: a\r\n\r\nid: 1\r\nda") { request, out ->
+                assertEquals("0", request.headers["last-event-id"])
+                out.startStream(request, seal = "second")
+                out.writeChunk(rest)
+                out.endChunks()
+            }
+        assertEquals("id: 0\r\ndata: a\r\n\r\n$rest", answer.body)
+        assertTrue(answer.isComplete)
+    }
+}
