--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -354,9 +354,16 @@
                 if (outcome is CallOutcome.CallerGone) return outcome
             }
             if (splitter.hasPartialEvent) throw IOException("the stream ended in the middle of an event")
+            if (!splitter.hasEventsOfAnswer && !mayBeEmpty(received)) throw IOException("the stream ended without an event")
             return CallOutcome.Answered(received.code)
         }
 
+        /** Whether the target may have had no events left. If it crashed after the head, its connection ends the answer. */
+        private fun mayBeEmpty(received: Response): Boolean {
+            val isResumed = splitter.hasEvents || call.caller.lastEventId != null
+            return isResumed && targetFramingOf(received) != AnswerFraming.CONNECTION
+        }
+
         private fun mayBeEventStream(received: Response): Boolean {
             val contentType = received.body.contentType() ?: return true
             return contentType.type == "text" && contentType.subtype == "event-stream"
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/EventStreamSplitter.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/EventStreamSplitter.kt
@@ -22,8 +22,13 @@
     private var buffer = ByteArray(INITIAL_BUFFER_BYTES)
     private var size = 0
 
-    private var hasEvents = false
-    private var hasEventsOfAnswer = false
+    /** Whether an event was returned. */
+    var hasEvents: Boolean = false
+        private set
+
+    /** Whether an event of the current answer was returned. */
+    var hasEventsOfAnswer: Boolean = false
+        private set
 
     /** Whether events of an earlier answer were returned, so that those of this answer must follow them. */
     private var isResumed = false
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/ResumedStreamTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/ResumedStreamTest.kt
@@ -34,6 +34,14 @@
         flush()
     }
 
+    /** Writes an answer that ends with its connection. */
+    private fun ReceivedRequest.answerAndClose(out: OutputStream, vararg headers: String) {
+        val head = listOf("HTTP/1.1 200 OK", "Request-Id: ${this.headers["request-id"]}", "Response-Seal: s") + headers
+        out.write(head.joinToString("\r\n", postfix = "\r\n\r\n").encodeToByteArray())
+        out.flush()
+        socket.close()
+    }
+
     private fun assertBrokenOff(answer: CallerAnswer, events: String = FIRST_EVENTS) {
         assertEquals(events, answer.body)
         assertFalse(answer.isComplete)
@@ -89,4 +97,25 @@
         assertEquals("id: 0\r\ndata: a\r\n\r\n$rest", answer.body)
         assertTrue(answer.isComplete)
     }
+
+    @Test
+    fun `a stream that ends with its connection and has no event does not look complete`() {
+        val crashing = { request: ReceivedRequest, out: OutputStream -> request.answerAndClose(out, EVENT_STREAM) }
+        assertFalse(connectCaller(startEntry(scriptedTarget(crashing), scriptedTarget(crashing))).call("POST", "/stream/x").isComplete)
+    }
+
+    @Test
+    fun `a resumed stream that ends with its connection and has no event does not look complete`() =
+        assertBrokenOff(callInterrupted { request, out -> request.answerAndClose(out, EVENT_STREAM) })
+
+    @Test
+    fun `a resumed stream that states its end without a further event is complete`() {
+        val answer =
+            callInterrupted { request, out ->
+                out.startStream(request, seal = "second")
+                out.endChunks()
+            }
+        assertEquals(FIRST_EVENTS, answer.body)
+        assertTrue(answer.isComplete)
+    }
 }
