--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -197,7 +197,7 @@
             }
 
         private fun mayRetry(): Boolean {
-            val isAllowed = triedTargetIds.size < call.route.maxTargets && (!mayHaveRun || call.route.isRetryable)
+            val isAllowed = triedTargetIds.size < call.route.maxTargets && (!mayHaveRun || call.route.isRetryable) && splitter.isResumable
             return isAllowed && retryBudget.tryRetry()
         }
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/EventStreamSplitter.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/EventStreamSplitter.kt
@@ -33,7 +33,11 @@
     /** Whether events of an earlier answer were returned, so that those of this answer must follow them. */
     private var isResumed = false
 
-    /** Id of the last complete event that was returned; null if there was none with a numeric id. */
+    /** Whether another target can continue: the last event has an id, or there was none. */
+    var isResumable: Boolean = true
+        private set
+
+    /** Id of the last complete event that was returned and had a numeric id; null if there was none. */
     var lastEventId: Long? = null
         private set
 
@@ -94,6 +98,7 @@
     private fun recordEvent(id: Long?) {
         hasEvents = true
         hasEventsOfAnswer = true
+        isResumable = id != null
         if (id != null) lastEventId = id
     }
 
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/ResumedStreamTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/ResumedStreamTest.kt
@@ -118,4 +118,24 @@
         assertEquals(FIRST_EVENTS, answer.body)
         assertTrue(answer.isComplete)
     }
+
+    @Test
+    fun `a stream whose last event has no id is not resumed`() {
+        assertNotJoinedWith("data: a\n\ndata: b\n\n", events = "data: a\n\n")
+        assertNotJoinedWith("id: 1\ndata: c\n\n", events = "id: 0\ndata: a\n\ndata: b\n\n")
+    }
+
+    @Test
+    fun `a stream whose events have no ids is relayed`() {
+        val events = "data: a\n\ndata: b\r\n\r\n"
+        val target =
+            scriptedTarget { request, out ->
+                out.startStream(request, seal = "s")
+                out.writeChunk(events)
+                out.endChunks()
+            }
+        val answer = connectCaller(startEntry(target)).call("POST", "/stream/x")
+        assertEquals(events, answer.body)
+        assertTrue(answer.isComplete)
+    }
 }
