--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
@@ -71,19 +71,25 @@
     val policy: GroupPlacementPolicy,
 )
 
+/** The experts of map [mapVersion] that a rank holds, by set. */
+private class HeldExperts(
+    val mapVersion: Long,
+    val sets: List<List<Int>>,
+)
+
 /**
  * Addresses and last known experts of a rank.
  *
  * @property address address of the rank itself.
  * @property link link to the rank's side; null if the side has not reported.
- * @property experts experts that the rank holds for the map in use, by set; null if they are unknown.
+ * @property experts experts that the rank held when they were last known; null if they never were. A later map may be in use.
  * @property lastReportAtMillis time of the last report from the rank's side; 0 if there was none.
  * @property mapForm most compact form in which the side accepts maps.
  */
 private class RankPeer(
     val address: HostPort,
     val link: Link?,
-    val experts: List<List<Int>>?,
+    val experts: HeldExperts?,
     val lastReportAtMillis: Long,
     val mapForm: MapForm,
 )
@@ -194,8 +200,9 @@
         if (generation == null) return message.link.close("another process coordinates the group")
         val rank = report.reading.rank
         val knownPeer = peers[rank]
-        val isSameMap = activeCoordinator?.lastReadings?.get(rank)?.mapVersion == report.reading.mapVersion
-        val experts = report.experts ?: knownPeer?.experts?.takeIf { knownPeer.link === message.link && isSameMap }
+        val experts =
+            report.experts?.let { HeldExperts(report.reading.mapVersion, it) }
+                ?: knownPeer?.experts?.takeIf { knownPeer.link === message.link }
         peers[rank] = RankPeer(report.address, message.link, experts, nowMillis(), report.acceptedMapForm)
         if (activeCoordinator == null) startCoordinating(report)
         activeCoordinator?.onReading(report.reading)
@@ -352,11 +359,12 @@
 
     private fun requestPlan(coordinator: MapChangeCoordinator) {
         val model = engineModel ?: return
-        recordExpertsOfNewMap(coordinator)
+        val mapVersion = coordinator.mapVersion ?: return
+        recordExpertsOfNewMap(mapVersion)
         val experts =
             coordinator.lastReadings.keys
                 .sorted()
-                .map { peers[it]?.experts ?: return }
+                .map { expertsOrNull(it, mapVersion) ?: return }
         val demand = demandWindow.demand(model.expertSets, nowMillis()) ?: return
         if (nowMillis() - lastPlanAtMillis < PLAN_INTERVAL_MILLIS) return
         lastPlanAtMillis = nowMillis()
@@ -367,16 +375,17 @@
         isPlanning = planner.offer(PlanRequest(groupMapOf(experts, model.slotsPerRank), demand, policy))
     }
 
-    /** Records the experts of the proposed map once it is in use, so that they need not be read from the ranks. */
-    private fun recordExpertsOfNewMap(coordinator: MapChangeCoordinator) {
-        val map = proposedMap ?: return
-        if (coordinator.mapVersion != proposedMapVersion) return
-        peers.entries.filter { it.value.experts == null }.forEach { (rank, peer) ->
-            val experts = map.sets.indices.map { map.expertsOf(it, rank).distinct() }
+    /** Records the experts of the proposed map, once it is in use, for ranks whose sides have not reported them yet. */
+    private fun recordExpertsOfNewMap(mapVersion: Long) {
+        val map = proposedMap?.takeIf { mapVersion == proposedMapVersion } ?: return
+        peers.entries.filter { it.value.experts?.mapVersion != mapVersion }.forEach { (rank, peer) ->
+            val experts = HeldExperts(mapVersion, map.sets.indices.map { map.expertsOf(it, rank).distinct() })
             peers[rank] = RankPeer(peer.address, peer.link, experts, peer.lastReportAtMillis, peer.mapForm)
         }
     }
 
+    private fun expertsOrNull(rank: Int, mapVersion: Long) = peers[rank]?.experts?.takeIf { it.mapVersion == mapVersion }?.sets
+
     private fun plan(request: PlanRequest) {
         val planStartedAtMillis = nowMillis()
         val plan = planQuickestPlacement(request.map, request.demand, request.policy, ACCEPTABLE_SKEW)
--- a/side/src/test/kotlin/io/jaybeam/side/rank/EmulatedGroup.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/EmulatedGroup.kt
@@ -35,6 +35,7 @@
 private const val HOST = "127.0.0.1"
 private const val FIRST_RANK_PORT = 30_000
 private const val PASS_MILLIS = 60L
+private const val MAX_NEW_EXPERTS = 2
 private const val LOAD_MILLIS = 100L
 private const val GENERATION = 1L
 
@@ -68,7 +69,7 @@
         expertSets = sets,
         experts = experts,
         slotsPerRank = slotsPerRank,
-        newExpertsPerChange = 2,
+        newExpertsPerChange = MAX_NEW_EXPERTS,
         expertMegabytes = 320.0,
         expertShare = 0.85,
         meanAnswerTokens = 100,
@@ -137,7 +138,10 @@
         val readyAtNanos: Long,
     )
 
-    /** The prepare orders that the rank has accepted or would have accepted again. */
+    /** The prepare orders that the rank refused, as they would load more new experts of a set than it has room for. */
+    val refusedOrders = CopyOnWriteArrayList<FencedOrder.Prepare>()
+
+    /** All prepare orders that the rank received. */
     val prepareOrders = CopyOnWriteArrayList<FencedOrder.Prepare>()
     val address = HostPort(HOST, FIRST_RANK_PORT + number)
     var mapVersion = 0L
@@ -190,6 +194,10 @@
         if (map == null) return OrderOutcome.CONFLICT
         if (preparedMap?.version != order.version) {
             val ownExperts = map.sets.indices.map { map.expertsOf(it, number).distinct() }
+            if (ownExperts.indices.any { (ownExperts[it] - experts[it].toSet()).size > MAX_NEW_EXPERTS }) {
+                refusedOrders += order
+                return OrderOutcome.CONFLICT
+            }
             preparedMap = PreparedMap(order.version, ownExperts, System.nanoTime() + LOAD_MILLIS * NANOS_PER_MILLI)
         }
         return OrderOutcome.ACCEPTED
@@ -212,6 +220,7 @@
     /** What the coordinator receives and sends. */
     val toCoordinator = LimitedLine(shape.linkBytesPerSecond)
     val fromCoordinator = LimitedLine(shape.linkBytesPerSecond)
+    private val linkEnds = HashMap<RankAgent, LinkEnd>()
     private val agents = group.ranks.map { RankAgent(it, it.address, events) }
     private val coordinator =
         CoordinatorWorker(
@@ -233,6 +242,11 @@
         }
     }
 
+    /** Loses everything that the side of [rank] sends and receives from now on. */
+    fun silence(rank: Int) {
+        linkEnds.getValue(agents[rank]).isSilent = true
+    }
+
     override fun close() {
         agents.forEach { it.close() }
         coordinator.close()
@@ -245,6 +259,7 @@
         val coordinatorEnd = LinkEnd(fromCoordinator)
         agentEnd.connect(coordinatorEnd, AgentHandler(agent))
         coordinatorEnd.connect(agentEnd, coordinator.linkHandler())
+        linkEnds[agent] = agentEnd
         agent.offer(RankAgentMessage.CoordinatorLink(agentEnd))
     }
 
@@ -292,6 +307,10 @@
     override var isOpen = true
         private set
 
+    /** Whether frames from and to this end are lost. */
+    @Volatile
+    var isSilent = false
+
     fun connect(peer: LinkEnd, handler: LinkHandler) {
         this.peer = peer
         this.handler = handler
@@ -299,6 +318,7 @@
 
     override fun send(frame: Frame): Boolean {
         if (!isOpen) return false
+        if (isSilent || peer.isSilent) return true
         val bytes = FrameCodec.encode(frame)
         line.send(SEGMENT_HEADER_BYTES + Int.SIZE_BYTES + bytes.size) {
             FrameCodec.decode(bytes).fold({ error("$it") }, { peer.handler.onFrame(peer, it) })
