--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
@@ -45,6 +45,9 @@
 // An order is sent again after this time if it has not taken effect.
 private const val RESEND_INTERVAL_MILLIS = 500L
 
+// Interval at which the engine model is read again after the store has failed.
+private const val MODEL_READ_INTERVAL_MILLIS = 1_000L
+
 // Interval at which ranks with silent sides are read while a change waits for them.
 private const val DIRECT_READ_INTERVAL_MILLIS = 200L
 
@@ -124,6 +127,8 @@
     private var deposedGeneration = 0L
     private var activeCoordinator: MapChangeCoordinator? = null
     private var engineModel: EngineModel? = null
+    private var isEngineModelMissed = false
+    private var lastModelReadAtMillis = 0L
     private var proposedMap: GroupMap? = null
     private var proposedMapVersion = 0L
     private var isPlanning = false
@@ -220,8 +225,7 @@
                 coordinatorRank,
                 currentGeneration shl FENCE_BITS_PER_TERM,
             )
-        engineModel = readEngineModel()
-        remoteRanks.reportLagMillis = engineModel?.reportLagMillis ?: 0
+        readEngineModel()
         startedAtMillis = nowMillis()
         demandWindow.clear()
     }
@@ -239,21 +243,28 @@
         advance()
     }
 
-    private fun readEngineModel(): EngineModel? =
-        store.readLatestOperatorUpdates().fold(
-            { fault ->
-                events.write(LogEvent.STORE_LOST, LogField("follower", "coordinator"), LogField("detail", fault.detail))
-                null
-            },
-            { logPage ->
-                val config =
-                    logPage.updates
-                        .filterIsInstance<OperatorUpdate.Published>()
-                        .maxByOrNull { it.config.version }
-                        ?.config
-                config?.services?.firstOrNull { it.name == settings.targetService }?.engine
-            },
-        )
+    /** Reads the engine model. It is read again on a later tick if the store fails. */
+    private fun readEngineModel() {
+        lastModelReadAtMillis = nowMillis()
+        isEngineModelMissed = false
+        engineModel =
+            store.readLatestOperatorUpdates().fold(
+                { fault ->
+                    events.write(LogEvent.STORE_LOST, LogField("follower", "coordinator"), LogField("detail", fault.detail))
+                    isEngineModelMissed = true
+                    null
+                },
+                { logPage ->
+                    val config =
+                        logPage.updates
+                            .filterIsInstance<OperatorUpdate.Published>()
+                            .maxByOrNull { it.config.version }
+                            ?.config
+                    config?.services?.firstOrNull { it.name == settings.targetService }?.engine
+                },
+            )
+        remoteRanks.reportLagMillis = engineModel?.reportLagMillis ?: 0
+    }
 
     private fun onReply(frame: Frame.RankReply) {
         if (frame.order is FencedOrder.Hold) isHoldOutcomeUnknown = frame.outcome == OrderOutcome.UNKNOWN
@@ -292,6 +303,8 @@
             peers.values.forEach { it.link?.send(Frame.Heartbeat(0)) }
         }
         if (activeCoordinator != null) load.logIfDue(worker.backlog, now)
+        val isModelReadDue = isEngineModelMissed && now - lastModelReadAtMillis >= MODEL_READ_INTERVAL_MILLIS
+        if (activeCoordinator != null && isModelReadDue) readEngineModel()
         readSilentRanks(now)
         advance()
     }
--- a/side/src/test/kotlin/io/jaybeam/side/rank/EmulatedGroup.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/EmulatedGroup.kt
@@ -214,6 +214,7 @@
 internal class EmulatedSides(
     private val group: EmulatedGroup,
     private val shape: EmulatedGroupShape,
+    failingStoreReads: Int = 0,
 ) : AutoCloseable {
     private val events = EventLog("emulated", Clock.System)
 
@@ -224,7 +225,7 @@
     private val agents = group.ranks.map { RankAgent(it, it.address, events) }
     private val coordinator =
         CoordinatorWorker(
-            OperatorStore(SERVICE, shape.engineModel()),
+            OperatorStore(SERVICE, shape.engineModel(), failingStoreReads),
             rankSettings(SERVICE, group.ranks.first().address),
             { 0 },
             { GROUP_NAME },
--- a/side/src/test/kotlin/io/jaybeam/side/rank/RankTestSettings.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/RankTestSettings.kt
@@ -1,6 +1,7 @@
 package io.jaybeam.side.rank
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import io.jaybeam.core.fleet.CallerLimits
 import io.jaybeam.core.fleet.CoordinatorTerm
@@ -15,15 +16,24 @@
 import io.jaybeam.core.fleet.ServicePolicy
 import io.jaybeam.core.fleet.StoreFault
 import io.jaybeam.core.fleet.TargetUpdate
+import java.util.concurrent.atomic.AtomicInteger
 
 private const val HOST = "127.0.0.1"
 
-/** A store with one configuration, in which [service] runs on [engine], and with neither targets nor candidates. */
+/**
+ * A store with one configuration, in which [service] runs on [engine], and with neither targets nor candidates.
+ *
+ * The first [failingReads] reads of the configuration fail.
+ */
 internal class OperatorStore(
     private val service: String,
     private val engine: EngineModel,
+    failingReads: Int = 0,
 ) : FleetStore {
+    private val failuresLeft = AtomicInteger(failingReads)
+
     override fun readLatestOperatorUpdates(): Either<StoreFault, LogPage<OperatorUpdate>> {
+        if (failuresLeft.getAndDecrement() > 0) return StoreFault.Unreachable("no answer").left()
         val policy = ServicePolicy(service, "", 1, 0.0, engine)
         val config = FleetConfig(1, emptyList(), listOf(policy), emptyList(), CallerLimits(1, 1, 1, 1))
         return LogPage(listOf(OperatorUpdate.Published(config)), 1, emptyList()).right()
