An exception while a request is served ends in an answer that is true, and is logged

Callers saw: a closed connection, which promises nothing, for a request that had not run. No event was written. Cause: DirectEntry.serve caught only IOException. Anything else, such as an interrupt while the request waited or a request that the HTTP client refuses to build, went to the server's default handler. Change: one place answers 503 if no send to a target had begun and 502 otherwise, and leaves an answer alone whose head was sent, which then ends visibly incomplete. The fixture's callers no longer take an answer with a length for complete if it is short.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectCall.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectCall.kt
@@ -67,12 +67,18 @@
     /** Whether the head of an answer has been sent. */
     val isCommitted: Boolean
 
+    /** Whether sending the request to a target has begun, so that it may have run. */
+    val isRequestSent: Boolean
+
     /** How the end of an answer of unknown length is marked for the caller. */
     val framing: AnswerFraming
 
     /** Calls [onGone] when the caller closes its connection, or immediately if it is closed already. */
     fun watch(onGone: () -> Unit)
 
+    /** States that sending the request to a target begins. */
+    fun onRequestSent()
+
     /** Sends the head of an answer. */
     fun sendHead(status: Int, headers: List<Header>)
 
@@ -98,6 +104,7 @@
     UNKNOWN_KEY(401, "the key belongs to no organisation; send a key that the current configuration lists"),
     TOO_LARGE(413, "the body exceeds the configured size limit; send a smaller one"),
     MALFORMED_TARGET(400, "the path or query cannot be forwarded unchanged; encode it according to RFC 3986"),
+    NOT_SENT(503, "this instance failed before it sent the request, which has not run; send it again later", "0.3"),
     NO_TARGET(503, "no target is available and the request has not run; send it again later", "0.5"),
     NO_ROOM(503, "another stream would delay the running ones and the request has not run; send it again later", "1.0"),
     QUARANTINED(
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -145,20 +145,40 @@
     }
 
     private fun serve(context: Context, response: ServletResponse) {
-        inFlight.incrementAndGet()
         val arrivedNanos = System.nanoTime()
         val caller = decodeCallerRequest(context::header)
+        inFlight.incrementAndGet()
         try {
             val record = respond(context, caller, arrivedNanos, response)
             requestLog.requestEnded(caller, record, cache.snapshot, arrivedNanos)
             metrics.recordCall(record.outcome, System.nanoTime() - arrivedNanos)
         } catch (e: IOException) {
             requestLog.requestAbandoned(caller, "request or answer: ${e.javaClass.simpleName}: ${e.message}", arrivedNanos)
+        } catch (e: Exception) {
+            onUnexpectedFailure(caller, e, arrivedNanos, response)
         } finally {
             inFlight.decrementAndGet()
         }
     }
 
+    /**
+     * Answers a request whose serving failed with [failure], also with an [InterruptedException] while the server stops.
+     *
+     * If the head of an answer has been sent, that answer ends here, complete or not.
+     */
+    private fun onUnexpectedFailure(
+        caller: CallerRequest,
+        failure: Exception,
+        arrivedNanos: Long,
+        response: ServletResponse,
+    ) {
+        requestLog.servingFailed(caller, failure, arrivedNanos)
+        if (response.isCommitted) return
+        val record = refuse(if (response.isRequestSent) Refusal.OUTCOME_UNKNOWN else Refusal.NOT_SENT, response)
+        requestLog.requestEnded(caller, record, cache.snapshot, arrivedNanos)
+        metrics.recordCall(record.outcome, System.nanoTime() - arrivedNanos)
+    }
+
     private fun respond(
         context: Context,
         caller: CallerRequest,
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectHttpServer.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectHttpServer.kt
@@ -142,6 +142,9 @@
     override var isCommitted: Boolean = false
         private set
 
+    override var isRequestSent: Boolean = false
+        private set
+
     override val framing: AnswerFraming get() = connection.framing
 
     override fun watch(onGone: () -> Unit) {
@@ -157,6 +160,10 @@
         connection.closeUnlessComplete()
     }
 
+    override fun onRequestSent() {
+        isRequestSent = true
+    }
+
     override fun sendHead(status: Int, headers: List<Header>) {
         val servletResponse = context.res()
         servletResponse.status = status
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/RequestLog.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/RequestLog.kt
@@ -44,6 +44,16 @@
         *relayedFields(relayed),
     )
 
+    /** Logs that serving a request failed with an exception that no caller, target or connection explains. */
+    fun servingFailed(caller: CallerRequest, failure: Exception, arrivedNanos: Long) =
+        events.write(
+            LogEvent.UNEXPECTED_FAILURE,
+            LogField("duty", "request"),
+            requestField(caller),
+            LogField("detail", failure.stackTraceToString()),
+            elapsedField(arrivedNanos),
+        )
+
     /** Logs the outcome of a request. */
     fun requestEnded(
         caller: CallerRequest,
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -125,6 +125,7 @@
     ): SendOutcome {
         httpCall.timeout().timeout(maxOf(call.remainingMillis(System.nanoTime()), 1), TimeUnit.MILLISECONDS)
         response.watch(httpCall::cancel)
+        response.onRequestSent()
         return outcomeOf(call, httpCall, httpCall.execute(), progress)
     }
 
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
@@ -54,9 +54,10 @@
 private fun target(id: String, service: String, port: Int) =
     FleetTarget(id, service, HOST, port, "north", 8, isDraining = false, remainingColdStartMillis = 0, startedAtEpochMillis = 0)
 
-/** A store with one configuration and [targets] that never change. */
+/** A store with one configuration and [targets] that never change. It answers no read of the configuration if [isConfigSilent]. */
 private class FixedStore(
     targets: List<FleetTarget>,
+    private val isConfigSilent: Boolean,
 ) : FleetStore {
     private val config =
         FleetConfig(
@@ -79,7 +80,11 @@
         LogPage(emptyList<TargetUpdate>(), position, emptyList()).right()
 
     override fun readLatestOperatorUpdates(): Either<StoreFault, LogPage<OperatorUpdate>> =
-        LogPage(listOf(OperatorUpdate.Published(config)), 1, emptyList()).right()
+        if (isConfigSilent) {
+            StoreFault.Unreachable("no answer").left()
+        } else {
+            LogPage(listOf(OperatorUpdate.Published(config)), 1, emptyList()).right()
+        }
 
     override fun readOperatorUpdatesFrom(position: Long, waitMillis: Long): Either<StoreFault, LogPage<OperatorUpdate>> {
         Thread.sleep(waitMillis)
@@ -138,12 +143,16 @@
     }
 
     /** Returns an entry that has not been started, and its ports for callers and for readiness checks. */
-    protected fun newEntry(vararg targets: ScriptedTarget, graceMillis: Long = 1_000): Pair<DirectEntry, List<Int>> =
-        newEntry(targets.map { it.port }, graceMillis)
+    protected fun newEntry(
+        vararg targets: ScriptedTarget,
+        graceMillis: Long = 1_000,
+        startsWithoutConfiguration: Boolean = false,
+    ): Pair<DirectEntry, List<Int>> = newEntry(targets.map { it.port }, graceMillis, startsWithoutConfiguration)
 
     private fun newEntry(
         targetPorts: List<Int>,
         graceMillis: Long = 1_000,
+        startsWithoutConfiguration: Boolean = false,
         peerAddress: HostPort = HostPort(HOST, 0),
         seedAddresses: List<HostPort> = emptyList(),
     ): Pair<DirectEntry, List<Int>> {
@@ -172,7 +181,10 @@
         val entry =
             DirectEntry(
                 settings,
-                FixedStore(targetPorts.mapIndexed { index, port -> target("t$index", "plain", port) }),
+                FixedStore(
+                    targetPorts.mapIndexed { index, port -> target("t$index", "plain", port) },
+                    isConfigSilent = startsWithoutConfiguration,
+                ),
                 Clock.System,
             )
         entries += entry
@@ -225,10 +237,16 @@
                 ?.substringAfter(':')
                 ?.trim()
                 ?.toInt()
-        if (length != null) return CallerAnswer(status, headers, readText(length), isComplete = true)
+        if (length != null) return readLength(status, headers, length)
         return if ("Transfer-Encoding: chunked" in headers) readChunks(status, headers) else readUntilClosed(status, headers)
     }
 
+    /** Reads an answer of [length] bytes: complete unless the connection ends before them. */
+    private fun readLength(status: Int, headers: List<String>, length: Int): CallerAnswer {
+        val body = readText(length)
+        return CallerAnswer(status, headers, body, isComplete = body.length == length)
+    }
+
     /** Reads an answer that ends with its connection: complete unless the connection is reset. */
     private fun readUntilClosed(status: Int, headers: List<String>): CallerAnswer {
         val body = StringBuilder()
@@ -250,5 +268,9 @@
         }
     }
 
-    private fun readText(length: Int) = String(CharArray(length) { input.read().toChar() })
+    /** Reads [length] characters, or fewer if the connection ends before them. */
+    private fun readText(length: Int): String =
+        generateSequence { runCatching { input.read() }.getOrDefault(-1).takeIf { it >= 0 }?.toChar() }
+            .take(length)
+            .joinToString("")
 }
