--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -10,6 +10,7 @@
 import io.jaybeam.platform.targetHeaders
 import io.jaybeam.platform.withLastEventId
 import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.endsWithConnection
 import io.jaybeam.runtime.http.singleAttemptClient
 import okhttp3.Call
 import okhttp3.Connection
@@ -63,6 +64,9 @@
 
         @Volatile
         var isNewConnection = false
+
+        @Volatile
+        var hasRequestFailed = false
     }
 
     private val client: OkHttpClient =
@@ -136,29 +140,45 @@
         progress: Progress,
     ): SendOutcome {
         val answer = decodeTargetAnswer(received.code, received::header)
-        val belongsToCall = if (answer.requestId == null) progress.isNewConnection else answer.requestId == call.caller.requestId
-        if (!belongsToCall) {
-            // The answer may belong to an earlier request on this connection, so the connection must not be reused.
+        val fault = faultOf(call, received, answer, progress)
+        if (fault != null) {
+            // The rest of the answer must not reach another request, so the connection must not be reused.
             httpCall.cancel()
             received.close()
-            return SendOutcome.Unknown("answer ${received.code} belongs to request ${answer.requestId ?: "of unknown id"}")
+            return SendOutcome.Unknown(fault)
         }
         if (answer.isNotRun) {
             received.close()
             return SendOutcome.NotRun("target answered ${received.code}", answer.failedTargetId)
         }
-        if (answer.hasNotRunStatus) {
+        return SendOutcome.Answered(httpCall, received, answer)
+    }
+
+    /** Returns why [received] cannot be the answer to [call], or null if it can. */
+    private fun faultOf(
+        call: DirectCall,
+        received: Response,
+        answer: TargetAnswer,
+        progress: Progress,
+    ): String? {
+        // An answer without an id on a connection that was used before may belong to an earlier request.
+        val belongsToCall = if (answer.requestId == null) progress.isNewConnection else answer.requestId == call.caller.requestId
+        return when {
+            !belongsToCall -> "answer ${received.code} belongs to request ${answer.requestId ?: "of unknown id"}"
+
+            answer.isNotRun -> null
+
             // Callers would take this status for the promise that the target did not give.
-            received.close()
-            return SendOutcome.Unknown("target answered ${received.code} and may have run the request")
-        }
-        if (received.isSuccessful && !answer.isSealed) {
+            answer.hasNotRunStatus -> "target answered ${received.code} and may have run the request"
+
             // A target that crashes may close its connection after the head, which looks like an empty answer.
-            httpCall.cancel()
-            received.close()
-            return SendOutcome.Unknown("success without a seal")
+            received.isSuccessful && !answer.isSealed -> "success without a seal"
+
+            progress.hasRequestFailed && received.endsWithConnection ->
+                "the connection failed while the request was sent, so the end of the answer cannot be recognised"
+
+            else -> null
         }
-        return SendOutcome.Answered(httpCall, received, answer)
     }
 
     private fun DirectCall.requestBody() = body?.toRequestBody() ?: if (method in methodsWithBody) ByteArray(0).toRequestBody() else null
@@ -179,6 +199,10 @@
             call.request().tag(Progress::class.java)?.isRequestStarted = true
         }
 
+        override fun requestFailed(call: Call, ioe: IOException) {
+            call.request().tag(Progress::class.java)?.hasRequestFailed = true
+        }
+
         override fun connectionReleased(call: Call, connection: Connection) {
             (connection.socket() as? TargetSocket)?.onIdle()
         }
--- a/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
@@ -4,6 +4,7 @@
 package io.jaybeam.side
 
 import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.endsWithConnection
 import io.jaybeam.runtime.http.singleAttemptClient
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.HeaderField
@@ -20,7 +21,6 @@
 import okhttp3.Response
 import okhttp3.internal.http.HttpMethod
 import java.io.IOException
-import java.util.concurrent.atomic.AtomicBoolean
 
 /** Health reported by a target. The defaults apply to members that the target does not report. */
 @Serializable
@@ -59,7 +59,7 @@
     private val callClient =
         singleAttemptClient(HttpTimeouts(readMillis = 0))
             .newBuilder()
-            .eventListenerFactory { call -> SendStartListener(call.request().tag(AtomicBoolean::class.java)) }
+            .eventListener(SendListener)
             .build()
     private val healthClient = singleAttemptClient(HttpTimeouts(HEALTH_TIMEOUT_MILLIS, HEALTH_TIMEOUT_MILLIS, HEALTH_TIMEOUT_MILLIS))
 
@@ -86,11 +86,11 @@
 
     /** Returns a call for [execute] that is not started yet. */
     fun newCall(execute: Frame.Execute): TargetCall {
-        val hasStartedSending = AtomicBoolean()
-        return TargetCall(callClient.newCall(buildRequest(execute, hasStartedSending)), hasStartedSending)
+        val progress = SendProgress()
+        return TargetCall(callClient.newCall(buildRequest(execute, progress)), progress)
     }
 
-    private fun buildRequest(execute: Frame.Execute, hasStartedSending: AtomicBoolean): Request {
+    private fun buildRequest(execute: Frame.Execute, progress: SendProgress): Request {
         val headers = Headers.Builder()
         execute.headers.filter { it.name.lowercase() !in hopByHopHeaders }.forEach { headers.addUnsafeNonAscii(it.name, it.value) }
         execute.tier?.let { headers["Jaybeam-Tier"] = it }
@@ -106,24 +106,37 @@
             .url(baseUrl + execute.path)
             .headers(headers.build())
             .method(execute.method, body)
-            .tag(AtomicBoolean::class.java, hasStartedSending)
+            .tag(SendProgress::class.java, progress)
             .build()
     }
 }
 
-/** Records that a call has started to send its request. */
-private class SendStartListener(
-    private val hasStartedSending: AtomicBoolean?,
-) : EventListener() {
+/** How far the request of one call has been sent. */
+internal class SendProgress {
+    /** Whether sending has started. */
+    @Volatile
+    var hasStarted = false
+
+    /** Whether sending has failed; the target may have answered nevertheless. */
+    @Volatile
+    var hasFailed = false
+}
+
+/** Records the [SendProgress] of calls. */
+private object SendListener : EventListener() {
     override fun requestHeadersStart(call: Call) {
-        hasStartedSending?.set(true)
+        call.request().tag(SendProgress::class.java)?.hasStarted = true
+    }
+
+    override fun requestFailed(call: Call, ioe: IOException) {
+        call.request().tag(SendProgress::class.java)?.hasFailed = true
     }
 }
 
-/** One call to the target. [hasStartedSending] is set when it starts to send its request. */
+/** One call to the target, which records how far its request has been sent in [progress]. */
 internal class TargetCall(
     private val call: Call,
-    private val hasStartedSending: AtomicBoolean,
+    private val progress: SendProgress,
 ) {
     /** Runs the call until it ends. [onHead] and [onBytes] receive the parts of the answer as they arrive. */
     fun run(onHead: (Int, List<HeaderField>) -> Unit, onBytes: (ByteArray) -> Unit): CallOutcome =
@@ -132,7 +145,7 @@
             CallOutcome.Complete
         } catch (e: IOException) {
             val detail = e.message ?: e.toString()
-            if (hasStartedSending.get()) CallOutcome.Lost(detail) else CallOutcome.NotSent(detail)
+            if (progress.hasStarted) CallOutcome.Lost(detail) else CallOutcome.NotSent(detail)
         }
 
     /** Cancels the call, so that [run] returns. */
@@ -140,7 +153,9 @@
         call.cancel()
     }
 
+    /** @throws IOException if the answer is incomplete. */
     private fun readAnswer(response: Response, onHead: (Int, List<HeaderField>) -> Unit, onBytes: (ByteArray) -> Unit) {
+        checkHead(response)
         val headers = response.headers.filter { it.first.lowercase() !in hopByHopHeaders }.map { HeaderField(it.first, it.second) }
         onHead(response.code, headers)
         val source = response.body.byteStream()
@@ -151,4 +166,10 @@
             if (byteCount > 0) onBytes(buffer.copyOf(byteCount))
         }
     }
+
+    private fun checkHead(response: Response) {
+        if (progress.hasFailed && response.endsWithConnection) {
+            throw IOException("the connection failed while the request was sent, so the end of the answer cannot be recognised")
+        }
+    }
 }
--- /dev/null
+++ b/side/src/test/kotlin/io/jaybeam/side/TargetClientTest.kt
@@ -0,0 +1,74 @@
+package io.jaybeam.side
+
+import io.jaybeam.wire.Frame
+import io.jaybeam.wire.HeaderField
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+// Larger than the buffers of a connection, so that the body is still being sent when the connection is reset.
+private const val LARGE_BODY_BYTES = 33_554_432
+
+internal class TargetClientTest {
+    private val server = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
+    private val client = TargetClient("http://127.0.0.1:${server.localPort}")
+    private val statuses = mutableListOf<Int>()
+
+    @AfterTest
+    fun close() = server.close()
+
+    @Test
+    fun `an answer without a length is complete when its connection ends regularly`() {
+        assertEquals(CallOutcome.Complete, run("HTTP/1.1 200 OK\r\n\r\nall of it") { it.close() })
+    }
+
+    @Test
+    fun `an answer without a length is lost when its connection is reset`() {
+        assertIs<CallOutcome.Lost>(run("HTTP/1.1 200 OK\r\n\r\na part", end = ::reset))
+    }
+
+    @Test
+    fun `an answer without a length is lost when the reset ended the sending of the request first`() {
+        assertIs<CallOutcome.Lost>(run("HTTP/1.1 200 OK\r\n\r\na part", LARGE_BODY_BYTES, ::reset))
+    }
+
+    private fun reset(socket: Socket) {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
+    /** Runs a call of which the target reads only the head before it sends [answer], and calls [end] a moment later. */
+    private fun run(answer: String, bodyBytes: Int = 0, end: (Socket) -> Unit): CallOutcome {
+        thread(isDaemon = true) {
+            val socket = server.accept()
+            val lines = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1).lineSequence()
+            lines.takeWhile { it.isNotEmpty() }.count()
+            socket.getOutputStream().write(answer.encodeToByteArray())
+            Thread.sleep(200)
+            end(socket)
+        }
+        val execute =
+            Frame.Execute(
+                requestId = "r1",
+                attemptId = 1,
+                ticket = null,
+                organisation = "org",
+                tier = null,
+                method = "POST",
+                path = "/x",
+                headers = emptyList<HeaderField>(),
+                body = ByteArray(bodyBytes),
+                fingerprint = "f",
+                isSuspect = false,
+                deadlineMillis = 5_000,
+                fromChunk = 0,
+                attachOnly = false,
+            )
+        return client.newCall(execute).run(onHead = { status, _ -> statuses += status }, onBytes = {})
+    }
+}
