A chunked answer that also states a length is not cut to that length

Callers saw: with a target whose answer states a length and is sent in chunks, the bytes up to that length as a complete answer. Cause: chunks take precedence, but the head for the caller kept the target's Content-Length. Evidence: TruncatedAnswerTest "a chunked answer that also states a length ..." failed before ("complete with 81920 bytes" of 163840) and passes now. Change: the length is taken from the body as it is read, and omitted if the body has none.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -394,8 +394,9 @@
 
         private fun headersOf(received: Response, keepLength: Boolean): List<Header> {
             val forwarded = received.headers.filter { (name, _) -> isForwardedToCaller(name) }.map { (name, value) -> Header(name, value) }
-            val length = received.header("Content-Length")?.takeIf { keepLength } ?: return forwarded
-            return forwarded + Header("Content-Length", length)
+            // Chunks take precedence over a stated length, so the header alone does not tell the length of the body.
+            val lengthBytes = received.body.contentLength()
+            return if (keepLength && lengthBytes >= 0) forwarded + Header("Content-Length", "$lengthBytes") else forwarded
         }
 
         private fun giveUp(refusal: Refusal): CallOutcome {
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/TruncatedAnswerTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/TruncatedAnswerTest.kt
@@ -131,4 +131,20 @@
         assertTrue(answer.isComplete)
         assertEquals(FIRST_EVENT + "id: 1\nweight-versions: 2\ndata: b\n\n", answer.body)
     }
+
+    @Test
+    fun `a chunked answer that also states a length is not cut to that length`() {
+        val ambiguous =
+            scriptedTarget { request, out ->
+                val head =
+                    "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n" +
+                        "Content-Length: 81920\r\nTransfer-Encoding: chunked\r\n\r\n"
+                out.write(head.encodeToByteArray())
+                repeat(20) { out.writeChunk("x".repeat(8_192)) }
+                out.write("0\r\n\r\n".encodeToByteArray())
+                request.awaitClose(2_000)
+            }
+        val answer = connectCaller(startEntry(ambiguous)).call("GET", "/safe/x")
+        assertTrue(answer.body.length == 163_840 || !answer.isComplete, "complete with ${answer.body.length} bytes")
+    }
 }
