An interim status of a target is not relayed as that of an answer

Callers saw: status 101, which no caller had asked for, and nothing after it until the connection timed out after 60 s. Cause: the HTTP client returns an answer with status 101, whose body cannot be read, and its status was relayed. Evidence: TruncatedAnswerTest "an answer with an interim status is not relayed" failed before (101 instead of 502, after 60 s), and TargetClientTest "an interim status ..." too; both pass now. Change: a status below 200 counts as a lost answer, for the entry's and the side's targets.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -31,6 +31,7 @@
 
 // Idle connections kept open for reuse, to all targets together.
 private const val MAX_IDLE_CONNECTIONS = 256
+private const val HTTP_LOWEST_FINAL_STATUS = 200
 
 /** Outcome of sending a request to a target. */
 internal sealed class SendOutcome {
@@ -166,6 +167,8 @@
         return when {
             !belongsToCall -> "answer ${received.code} belongs to request ${answer.requestId ?: "of unknown id"}"
 
+            received.code < HTTP_LOWEST_FINAL_STATUS -> "status ${received.code} is not that of a final answer"
+
             answer.isNotRun -> null
 
             // Callers would take this status for the promise that the target did not give.
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/TruncatedAnswerTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/TruncatedAnswerTest.kt
@@ -147,4 +147,16 @@
         val answer = connectCaller(startEntry(ambiguous)).call("GET", "/safe/x")
         assertTrue(answer.body.length == 163_840 || !answer.isComplete, "complete with ${answer.body.length} bytes")
     }
+
+    @Test
+    fun `an answer with an interim status is not relayed`() {
+        val switching =
+            scriptedTarget { request, out ->
+                val head = "HTTP/1.1 101 Switching Protocols\r\nRequest-Id: r1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+                out.write(head.encodeToByteArray())
+                out.flush()
+                request.awaitClose(2_000)
+            }
+        assertEquals(502, connectCaller(startEntry(switching)).call("POST", "/once/x").status)
+    }
 }
--- a/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
@@ -50,6 +50,7 @@
     setOf("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "host", "content-length", "proxy-connection")
 private val healthJson = Json { ignoreUnknownKeys = true }
 private const val READ_BUFFER_BYTES = 4_096
+private const val LOWEST_FINAL_STATUS = 200
 private const val HEALTH_TIMEOUT_MILLIS = 500L
 
 /** Client of the target at [baseUrl]. Calls block. */
@@ -168,6 +169,7 @@
     }
 
     private fun checkHead(response: Response) {
+        if (response.code < LOWEST_FINAL_STATUS) throw IOException("status ${response.code} is not that of a final answer")
         if (progress.hasFailed && response.endsWithConnection) {
             throw IOException("the connection failed while the request was sent, so the end of the answer cannot be recognised")
         }
--- a/side/src/test/kotlin/io/jaybeam/side/TargetClientTest.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/TargetClientTest.kt
@@ -37,6 +37,12 @@
         assertIs<CallOutcome.Lost>(run("HTTP/1.1 200 OK\r\n\r\na part", LARGE_BODY_BYTES, ::reset))
     }
 
+    @Test
+    fun `an interim status is not passed on as that of an answer`() {
+        assertIs<CallOutcome.Lost>(run("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n") { it.close() })
+        assertEquals(emptyList(), statuses)
+    }
+
     private fun reset(socket: Socket) {
         socket.setSoLinger(true, 0)
         socket.close()
