A side does not pass on an event stream that ended inside an event as complete

Callers saw: on jaybeam's own path, the last event cut short and then the end of a complete answer. Cause: the side took each regular end of an answer for its end. Only the entry that sends to targets directly checked for an event that is not complete. Evidence: TargetClientTest, the 2 tests "an event stream ... that ends inside an event is lost" failed before (Complete) and pass now. Change: the side follows the lines of an event stream, and a stream that does not end after an empty line is lost.

--- a/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
@@ -51,6 +51,7 @@
 private val healthJson = Json { ignoreUnknownKeys = true }
 private const val READ_BUFFER_BYTES = 4_096
 private const val LOWEST_FINAL_STATUS = 200
+private const val EVENT_STREAM = "text/event-stream"
 private const val HEALTH_TIMEOUT_MILLIS = 500L
 
 /** Client of the target at [baseUrl]. Calls block. */
@@ -159,13 +160,18 @@
         checkHead(response)
         val headers = response.headers.filter { it.first.lowercase() !in hopByHopHeaders }.map { HeaderField(it.first, it.second) }
         onHead(response.code, headers)
+        val boundary = if (response.header("Content-Type").orEmpty().startsWith(EVENT_STREAM, ignoreCase = true)) EventBoundary() else null
         val source = response.body.byteStream()
         val buffer = ByteArray(READ_BUFFER_BYTES)
         while (true) {
             val byteCount = source.read(buffer)
-            if (byteCount < 0) return
-            if (byteCount > 0) onBytes(buffer.copyOf(byteCount))
+            if (byteCount < 0) break
+            if (byteCount == 0) continue
+            val bytes = buffer.copyOf(byteCount)
+            boundary?.add(bytes)
+            onBytes(bytes)
         }
+        if (boundary?.isAfterEvent == false) throw IOException("the stream ended in the middle of an event")
     }
 
     private fun checkHead(response: Response) {
--- a/side/src/test/kotlin/io/jaybeam/side/TargetClientTest.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/TargetClientTest.kt
@@ -13,6 +13,8 @@
 
 // Larger than the buffers of a connection, so that the body is still being sent when the connection is reset.
 private const val LARGE_BODY_BYTES = 33_554_432
+private const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+private const val EVENT = "data: a\n\n"
 
 internal class TargetClientTest {
     private val server = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
@@ -37,6 +39,24 @@
         assertIs<CallOutcome.Lost>(run("HTTP/1.1 200 OK\r\n\r\na part", LARGE_BODY_BYTES, ::reset))
     }
 
+    @Test
+    fun `an event stream is complete when it ends after an event`() {
+        assertEquals(CallOutcome.Complete, run("$STREAM_HEAD\r\n$EVENT") { it.close() })
+        assertEquals(CallOutcome.Complete, run("$STREAM_HEAD\r\ndata: a\r\n\r\n") { it.close() })
+        assertEquals(CallOutcome.Complete, run("$STREAM_HEAD\r\n") { it.close() })
+    }
+
+    @Test
+    fun `an event stream that ends inside an event is lost`() {
+        assertIs<CallOutcome.Lost>(run("$STREAM_HEAD\r\n${EVENT}data: b") { it.close() })
+        assertIs<CallOutcome.Lost>(run("$STREAM_HEAD\r\n${EVENT}data: b\n") { it.close() })
+    }
+
+    @Test
+    fun `an event stream in chunks that ends inside an event is lost`() {
+        assertIs<CallOutcome.Lost>(run("${STREAM_HEAD}Transfer-Encoding: chunked\r\n\r\n7\r\ndata: b\r\n0\r\n\r\n") { it.close() })
+    }
+
     @Test
     fun `an interim status is not passed on as that of an answer`() {
         assertIs<CallOutcome.Lost>(run("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n") { it.close() })
