A problem that comes up after the head does not complete the answer

Callers saw: on jaybeam's own path, part of an answer, then the JSON of a problem, framed as the end of a complete answer. Cause: a call can fail after its head was relayed, for example if a side refuses or cannot decide on the ticket when the entry attaches again, and the server then wrote the problem into the body and stated that the answer is complete. Change: after the head, a problem only explains the truncation. CallerServer takes a function that issues tickets, for the test.

--- a/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
@@ -121,7 +121,7 @@
                 maxThreads = settings.callerThreads,
                 defaultDeadlineMillis = settings.defaultDeadlineMillis,
                 bundle = { effectiveConfig().bundle },
-                ticketIssuer = ticketIssuer,
+                issueTicketOrNull = { service, organisation -> ticketIssuer.issueOrNull(service, organisation) },
                 handle = ::handle,
                 onResult = ::recordResult,
             )
--- a/entry/src/main/kotlin/io/jaybeam/entry/calls/CallerServer.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/calls/CallerServer.kt
@@ -10,8 +10,8 @@
 import io.javalin.http.Context
 import io.javalin.http.Handler
 import io.jaybeam.core.config.Bundle
+import io.jaybeam.core.ticket.Ticket
 import io.jaybeam.core.ticket.encode
-import io.jaybeam.entry.forward.TicketIssuer
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -25,6 +25,7 @@
  *
  * @property bundle returns the bundle in force, or null if this entry has no configuration yet.
  * @property handle runs a call and blocks until it has ended.
+ * @property issueTicketOrNull returns a new ticket for a service and an organisation, or null if no target accepts work.
  * @property onResult receives the result of each call and its duration in nanoseconds.
  */
 internal class CallerServer(
@@ -33,7 +34,7 @@
     maxThreads: Int,
     private val defaultDeadlineMillis: Long,
     private val bundle: () -> Bundle?,
-    private val ticketIssuer: TicketIssuer,
+    private val issueTicketOrNull: (String, String) -> Ticket?,
     private val handle: (Call, CallerResponse) -> CallResult,
     private val onResult: (CallResult, Long) -> Unit,
 ) {
@@ -134,7 +135,7 @@
                 )
             }
             val ticket =
-                ticketIssuer.issueOrNull(service, organisation)
+                issueTicketOrNull(service, organisation)
                     ?: return response.sendProblem(noTarget("no target of service $service accepts work"))
             context.header(CallerHeaders.TICKET, ticket.encode())
             context.result(ticket.encode())
--- a/entry/src/main/kotlin/io/jaybeam/entry/calls/HttpCallerResponse.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/calls/HttpCallerResponse.kt
@@ -19,6 +19,7 @@
     private val isClosing: () -> Boolean,
 ) : CallerResponse {
     private val connection = CallerConnection(context)
+    private var isHeadSent = false
     private var isEventStream = false
 
     override fun sendHead(status: Int, headers: List<HeaderField>) {
@@ -28,6 +29,7 @@
         isEventStream = servletResponse.contentType?.startsWith(EVENT_STREAM) == true
         setConnectionHeader()
         connection.prepareHead()
+        isHeadSent = true
         servletResponse.flushBuffer()
     }
 
@@ -50,8 +52,9 @@
     /** Ends the answer; closes the connection if the answer is not complete, so that it does not look complete. */
     fun close() = connection.closeUnlessComplete()
 
-    /** Sends [problem] instead of an answer. */
+    /** Sends [problem] instead of an answer. If part of an answer was sent, that answer stays incomplete. */
     fun sendProblem(problem: Problem) {
+        if (isHeadSent) return explainTruncation(problem.detail)
         val servletResponse = context.res()
         servletResponse.status = problem.status
         servletResponse.contentType = "application/problem+json"
