On the own path too, an exception while a call is served ends in a true answer and is logged

Callers saw: a closed connection. No event of the project was written. Cause: CallerServer left every exception to the HTTP server. Change: one place answers 502, as the call may have run, and writes event 1901. A failure of the caller's connection counts as a caller that is gone.

--- a/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
@@ -124,6 +124,9 @@
                 issueTicketOrNull = { service, organisation -> ticketIssuer.issueOrNull(service, organisation) },
                 handle = ::handle,
                 onResult = ::recordResult,
+                onFailure = { failure ->
+                    events.write(LogEvent.UNEXPECTED_FAILURE, LogField("duty", "request"), LogField("detail", failure.stackTraceToString()))
+                },
             )
         registerMetrics()
         adminServer = AdminServer(common.host, common.adminPort, registry, ::isReady, ::dump)
--- a/entry/src/main/kotlin/io/jaybeam/entry/calls/CallerServer.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/calls/CallerServer.kt
@@ -13,6 +13,7 @@
 import io.jaybeam.core.ticket.Ticket
 import io.jaybeam.core.ticket.encode
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 
 private const val DRAIN_POLL_MILLIS = 20L
@@ -26,6 +27,7 @@
  * @property bundle returns the bundle in force, or null if this entry has no configuration yet.
  * @property handle runs a call and blocks until it has ended.
  * @property issueTicketOrNull returns a new ticket for a service and an organisation, or null if no target accepts work.
+ * @property onFailure receives each exception that ended a call unexpectedly.
  * @property onResult receives the result of each call and its duration in nanoseconds.
  */
 internal class CallerServer(
@@ -37,6 +39,7 @@
     private val issueTicketOrNull: (String, String) -> Ticket?,
     private val handle: (Call, CallerResponse) -> CallResult,
     private val onResult: (CallResult, Long) -> Unit,
+    private val onFailure: (Exception) -> Unit,
 ) {
     private val inFlight = AtomicInteger()
 
@@ -91,8 +94,7 @@
             val startNanos = System.nanoTime()
             inFlight.incrementAndGet()
             try {
-                val currentBundle = bundle()
-                val result = if (currentBundle == null) CallResult.Failed(notReady()) else serve(context, currentBundle, response, read)
+                val result = resultOf(context, response, read)
                 complete(context, result, response)
                 onResult(result, System.nanoTime() - startNanos)
             } finally {
@@ -101,6 +103,18 @@
             }
         }
 
+    /** Serves a call. After an unexpected exception, which an interrupt is too, the call may have run. */
+    private fun resultOf(context: Context, response: CallerResponse, read: Context.(CallReader) -> Either<Problem, Call>): CallResult =
+        try {
+            bundle()?.let { serve(context, it, response, read) } ?: CallResult.Failed(notReady())
+        } catch (e: IOException) {
+            // The caller's connection failed while its request was read.
+            CallResult.CallerDisconnected
+        } catch (e: Exception) {
+            onFailure(e)
+            CallResult.Failed(outcomeUnknown("this entry failed while it served the request", "send it again if it may run twice"))
+        }
+
     private fun serve(
         context: Context,
         bundle: Bundle,
