--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -152,6 +152,11 @@
             received.close()
             return SendOutcome.NotRun("target answered ${received.code}", answer.failedTargetId)
         }
+        if (answer.hasNotRunStatus) {
+            // Callers would take this status for the promise that the target did not give.
+            received.close()
+            return SendOutcome.Unknown("target answered ${received.code} and may have run the request")
+        }
         return SendOutcome.Answered(httpCall, received, answer)
     }
 
@@ -171,9 +176,6 @@
 
             answer.isNotRun -> null
 
-            // Callers would take this status for the promise that the target did not give.
-            answer.hasNotRunStatus -> "target answered ${received.code} and may have run the request"
-
             // A target that crashes may close its connection after the head, which looks like an empty answer.
             received.isSuccessful && !answer.isSealed -> "success without a seal"
 
