--- a/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/EntryProcess.kt
@@ -121,9 +121,12 @@
                 maxThreads = settings.callerThreads,
                 defaultDeadlineMillis = settings.defaultDeadlineMillis,
                 bundle = { effectiveConfig().bundle },
-                ticketIssuer = ticketIssuer,
+                issueTicketOrNull = { service, organisation -> ticketIssuer.issueOrNull(service, organisation) },
                 handle = ::handle,
                 onResult = ::recordResult,
+                onFailure = { failure ->
+                    events.write(LogEvent.UNEXPECTED_FAILURE, LogField("duty", "request"), LogField("detail", failure.stackTraceToString()))
+                },
             )
         registerMetrics()
         adminServer = AdminServer(common.host, common.adminPort, registry, ::isReady, ::dump)
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -52,13 +52,23 @@
     private val events = EventLog(settings.instance, clock)
     private val cache = FleetCache(events)
     private val watcher = FleetWatcher(store, cache, events)
-    private val peers = PeerExchange(settings.instance, settings.peerAddress, settings.seedAddresses, store, cache, events)
+    private val crashGuard = CrashGuard(events)
+    private val peers =
+        PeerExchange(settings.instance, settings.peerAddress, settings.seedAddresses, store, cache, crashGuard, events)
     private val loads = TargetLoads()
     private val retryBudgets = ConcurrentHashMap<String, RetryBudget>()
     private val streamQueues = ConcurrentHashMap<String, StreamQueue>()
     private val requestLog = RequestLog(events)
     private val inFlight = AtomicInteger()
-    private val metrics = EntryMetrics(cache, loads, inFlight::get, { streamQueues.values.sumOf { it.waitingCount } }, peers::peerCount)
+    private val metrics =
+        EntryMetrics(
+            cache,
+            loads,
+            inFlight::get,
+            { streamQueues.values.sumOf { it.waitingCount } },
+            peers::peerCount,
+            crashGuard::blamedCount,
+        )
 
     @Volatile
     private var isStopping = false
@@ -78,6 +88,7 @@
             },
             coldStartLimiter = ColdStartRateLimiter(),
             entryCount = peers::entryCount,
+            crashGuard = crashGuard,
             retryPercent = settings.limits.retryPercent,
             streamQueueFor = { service -> streamQueues.computeIfAbsent(service) { StreamQueue() } },
             onStreamHeld = requestLog::streamHeld,
@@ -134,20 +145,40 @@
     }
 
     private fun serve(context: Context, response: ServletResponse) {
-        inFlight.incrementAndGet()
         val arrivedNanos = System.nanoTime()
         val caller = decodeCallerRequest(context::header)
+        inFlight.incrementAndGet()
         try {
             val record = respond(context, caller, arrivedNanos, response)
             requestLog.requestEnded(caller, record, cache.snapshot, arrivedNanos)
             metrics.recordCall(record.outcome, System.nanoTime() - arrivedNanos)
         } catch (e: IOException) {
             requestLog.requestAbandoned(caller, "request or answer: ${e.javaClass.simpleName}: ${e.message}", arrivedNanos)
+        } catch (e: Exception) {
+            onUnexpectedFailure(caller, e, arrivedNanos, response)
         } finally {
             inFlight.decrementAndGet()
         }
     }
 
+    /**
+     * Answers a request whose serving failed with [failure], also with an [InterruptedException] while the server stops.
+     *
+     * If the head of an answer has been sent, that answer ends here, complete or not.
+     */
+    private fun onUnexpectedFailure(
+        caller: CallerRequest,
+        failure: Exception,
+        arrivedNanos: Long,
+        response: ServletResponse,
+    ) {
+        requestLog.servingFailed(caller, failure, arrivedNanos)
+        if (response.isCommitted) return
+        val record = refuse(if (response.isRequestSent) Refusal.OUTCOME_UNKNOWN else Refusal.NOT_SENT, response)
+        requestLog.requestEnded(caller, record, cache.snapshot, arrivedNanos)
+        metrics.recordCall(record.outcome, System.nanoTime() - arrivedNanos)
+    }
+
     private fun respond(
         context: Context,
         caller: CallerRequest,
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -12,6 +12,7 @@
 import io.jaybeam.core.fleet.RouteKind
 import io.jaybeam.core.fleet.chooseTarget
 import io.jaybeam.core.fleet.coldStartRatePerInstance
+import io.jaybeam.core.quarantine.QuarantineDecision
 import io.jaybeam.core.routing.RetryBudget
 import io.jaybeam.entry.answer.AnswerFraming
 import io.jaybeam.platform.Header
@@ -68,6 +69,8 @@
     val load: Int,
     val targetsAgeMillis: Long,
     val detail: String,
+    val hasEvents: Boolean = false,
+    val failedTargetId: String? = null,
 )
 
 /** A short answer that was read completely before it is relayed. */
@@ -87,6 +90,7 @@
     private val coldStartLimiter: ColdStartRateLimiter,
     private val entryCount: () -> Int,
     private val retryPercent: Int,
+    private val crashGuard: CrashGuard,
     private val streamQueueFor: (String) -> StreamQueue,
     private val onStreamHeld: (DirectCall, StreamQueueOutcome) -> Unit,
     private val onSendFailed: (DirectCall, SendRecord) -> Unit,
@@ -94,8 +98,7 @@
 ) {
     /** Forwards [call], writes the answer to [response] and returns the outcome; blocks until the answer has ended. */
     fun forward(call: DirectCall, response: DirectResponse): CallRecord {
-        val admission = admissionFor(call)
-        val record = if (admission == null) CallExecution(call, response, null).run() else forwardWhenAdmitted(call, response, admission)
+        val record = crashGuard.refusalOf(call)?.let { CallRecord(quarantined(it)) } ?: forwardUnlessQuarantined(call, response)
         when (val outcome = record.outcome) {
             is CallOutcome.Answered -> response.complete()
             is CallOutcome.Refused -> response.refuse(outcome.refusal, outcome.retryAfterMillis)
@@ -104,6 +107,14 @@
         return record
     }
 
+    private fun forwardUnlessQuarantined(call: DirectCall, response: DirectResponse): CallRecord {
+        val admission = admissionFor(call)
+        return if (admission == null) CallExecution(call, response, null).run() else forwardWhenAdmitted(call, response, admission)
+    }
+
+    private fun quarantined(refusal: QuarantineDecision.Refuse) =
+        CallOutcome.Refused(Refusal.QUARANTINED, "${refusal.trait}", refusal.retryAfterMillis)
+
     /** Returns the admission that decides when the stream of [call] may start; null if [call] starts immediately. */
     private fun admissionFor(call: DirectCall): StreamAdmission? {
         if (call.route.kind != RouteKind.STREAM || call.route.maxEventGapMillis <= 0) return null
@@ -149,6 +160,9 @@
         private var lastDetail = ""
 
         private var relayed: RelayedAnswer? = null
+
+        /** Whether the current attempt has had output. */
+        private var hasAttemptOutput = false
         private var lastEventNanos = 0L
 
         /** Whether the stream has had an event. */
@@ -167,13 +181,23 @@
                 if (response.isCallerGone) return CallOutcome.CallerGone
                 if (call.remainingMillis(System.nanoTime()) <= 0) return giveUp(Refusal.DEADLINE)
                 if (triedTargetIds.isNotEmpty() && !mayRetry()) return giveUp(if (mayHaveRun) Refusal.OUTCOME_UNKNOWN else Refusal.NOT_RUN)
-                val target = nextTarget() ?: return giveUp(if (mayHaveRun) Refusal.OUTCOME_UNKNOWN else Refusal.NO_TARGET)
-                attempt(target)?.let { return it }
+                when (val decision = crashGuard.admit(call)) {
+                    is QuarantineDecision.Refuse -> return if (mayHaveRun) giveUp(Refusal.OUTCOME_UNKNOWN) else quarantined(decision)
+                    is QuarantineDecision.Admit, is QuarantineDecision.Try -> attemptAs(decision)?.let { return it }
+                }
             }
         }
 
+        private fun attemptAs(decision: QuarantineDecision): CallOutcome? =
+            try {
+                val target = nextTarget()
+                if (target == null) giveUp(if (mayHaveRun) Refusal.OUTCOME_UNKNOWN else Refusal.NO_TARGET) else attempt(target)
+            } finally {
+                crashGuard.endAttempt(decision)
+            }
+
         private fun mayRetry(): Boolean {
-            val isAllowed = triedTargetIds.size < call.route.maxTargets && (!mayHaveRun || call.route.isRetryable)
+            val isAllowed = triedTargetIds.size < call.route.maxTargets && (!mayHaveRun || call.route.isRetryable) && splitter.isResumable
             return isAllowed && retryBudget.tryRetry()
         }
 
@@ -201,18 +225,36 @@
             val lastEventId = splitter.lastEventId
             if (response.isCommitted) onStreamResumed(call, record, lastEventId ?: 0)
             loads.onRequestStart(target.id)
+            hasAttemptOutput = false
+            val sentMillis = System.nanoTime() / NANOS_PER_MILLI
             var hasFailed = true
             try {
                 val sendOutcome = sender.send(call, target, lastEventId, response)
                 val callOutcome = if (sendOutcome is SendOutcome.Answered) relay(target, sendOutcome) else null
                 hasFailed = callOutcome == null || callOutcome is CallOutcome.BrokenOff
                 if (callOutcome != null) return callOutcome
+                recordLostAttempt(target, sendOutcome, sentMillis)
                 return onSendFailure(sendOutcome, record)
             } finally {
                 loads.onRequestEnd(target.id, hasFailed)
             }
         }
 
+        private fun recordLostAttempt(target: FleetTarget, outcome: SendOutcome, sentMillis: Long) {
+            if (hasAttemptOutput || response.isCallerGone) return
+            when (outcome) {
+                is SendOutcome.Answered -> crashGuard.onAttemptLost(call, target, AttemptProgress.HEAD, sentMillis)
+                is SendOutcome.Unknown -> crashGuard.onAttemptLost(call, target, AttemptProgress.NOTHING, sentMillis)
+                is SendOutcome.NotRun, is SendOutcome.Unsendable -> Unit
+            }
+        }
+
+        private fun recordOutput() {
+            if (hasAttemptOutput) return
+            hasAttemptOutput = true
+            crashGuard.onOutput(call)
+        }
+
         private fun onSendFailure(outcome: SendOutcome, record: SendRecord): CallOutcome? {
             when (outcome) {
                 is SendOutcome.NotRun -> lastDetail = outcome.detail
@@ -220,7 +262,10 @@
                 is SendOutcome.Unsendable -> return giveUp(Refusal.MALFORMED_TARGET)
                 is SendOutcome.Answered -> Unit
             }
-            if (!response.isCallerGone) onSendFailed(call, record.copy(detail = lastDetail))
+            if (!response.isCallerGone) {
+                val failedTargetId = (outcome as? SendOutcome.NotRun)?.failedTargetId
+                onSendFailed(call, record.copy(detail = lastDetail, hasEvents = hasEvents, failedTargetId = failedTargetId))
+            }
             return null
         }
 
@@ -234,7 +279,7 @@
             outcome.response.use { received ->
                 try {
                     relayed = RelayedAnswer(target.id, targetFramingOf(received), response.framing)
-                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK) {
+                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK && mayBeEventStream(received)) {
                         relayStream(received)
                     } else {
                         relayAnswer(received)
@@ -247,10 +292,11 @@
             }
 
         private fun relayAnswer(received: Response): CallOutcome? {
-            if (response.isCommitted) return CallOutcome.BrokenOff("target answered a resumed stream with status ${received.code}")
+            if (response.isCommitted) throw IOException("answer ${received.code} does not continue the stream")
             val source = received.body.source()
             // A short answer is read completely before it is relayed, so that the request can be retried if reading fails.
             val isLong = source.request(BUFFERED_ANSWER_LIMIT_BYTES)
+            recordOutput()
             if (!isLong) return relayShort(BufferedAnswer(received.code, headersOf(received, keepLength = false), source.readByteArray()))
             response.sendHead(received.code, headersOf(received, keepLength = true))
             return relayLong(source, received)
@@ -296,7 +342,7 @@
                 val outcome = writeToCaller(received.code) { response.sendHead(received.code, headersOf(received, keepLength = false)) }
                 if (outcome is CallOutcome.CallerGone) return outcome
             }
-            splitter.discardPartialEvent()
+            splitter.startAnswer()
             val source = received.body.source()
             val chunk = ByteArray(CHUNK_BYTES)
             while (true) {
@@ -308,9 +354,21 @@
                 if (outcome is CallOutcome.CallerGone) return outcome
             }
             if (splitter.hasPartialEvent) throw IOException("the stream ended in the middle of an event")
+            if (!splitter.hasEventsOfAnswer && !mayBeEmpty(received)) throw IOException("the stream ended without an event")
             return CallOutcome.Answered(received.code)
         }
 
+        /** Whether the target may have had no events left. If it crashed after the head, its connection ends the answer. */
+        private fun mayBeEmpty(received: Response): Boolean {
+            val isResumed = splitter.hasEvents || call.caller.lastEventId != null
+            return isResumed && targetFramingOf(received) != AnswerFraming.CONNECTION
+        }
+
+        private fun mayBeEventStream(received: Response): Boolean {
+            val contentType = received.body.contentType() ?: return true
+            return contentType.type == "text" && contentType.subtype == "event-stream"
+        }
+
         private fun targetFramingOf(received: Response): AnswerFraming =
             when {
                 received.header("Content-Length") != null -> AnswerFraming.LENGTH
@@ -319,6 +377,7 @@
             }
 
         private fun recordEvent() {
+            recordOutput()
             val now = System.nanoTime()
             if (hasEvents) streamQueue?.onEvent((now - lastEventNanos) / NANOS_PER_MILLI) else streamQueue?.onFirstEvent()
             lastEventNanos = now
@@ -335,8 +394,9 @@
 
         private fun headersOf(received: Response, keepLength: Boolean): List<Header> {
             val forwarded = received.headers.filter { (name, _) -> isForwardedToCaller(name) }.map { (name, value) -> Header(name, value) }
-            val length = received.header("Content-Length")?.takeIf { keepLength } ?: return forwarded
-            return forwarded + Header("Content-Length", length)
+            // Chunks take precedence over a stated length, so the header alone does not tell the length of the body.
+            val lengthBytes = received.body.contentLength()
+            return if (keepLength && lengthBytes >= 0) forwarded + Header("Content-Length", "$lengthBytes") else forwarded
         }
 
         private fun giveUp(refusal: Refusal): CallOutcome {
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -10,8 +10,11 @@
 import io.jaybeam.platform.targetHeaders
 import io.jaybeam.platform.withLastEventId
 import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.endsWithConnection
 import io.jaybeam.runtime.http.singleAttemptClient
 import okhttp3.Call
+import okhttp3.Connection
+import okhttp3.ConnectionPool
 import okhttp3.EventListener
 import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 import okhttp3.OkHttpClient
@@ -19,6 +22,8 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Proxy
 import java.util.concurrent.TimeUnit
 
 // A target on the same network accepts a connection within a few ms; the remaining time allows for one lost packet.
@@ -26,6 +31,7 @@
 
 // Idle connections kept open for reuse, to all targets together.
 private const val MAX_IDLE_CONNECTIONS = 256
+private const val HTTP_LOWEST_FINAL_STATUS = 200
 
 /** Outcome of sending a request to a target. */
 internal sealed class SendOutcome {
@@ -36,9 +42,10 @@
         val answer: TargetAnswer,
     ) : SendOutcome()
 
-    /** The request did not run at the target and never will. */
+    /** The request did not run at the target and never will, because [failedTargetId] has failed if that is not null. */
     data class NotRun(
         val detail: String,
+        val failedTargetId: String? = null,
     ) : SendOutcome()
 
     /** The request may have run at the target. */
@@ -55,13 +62,26 @@
     private class Progress {
         @Volatile
         var isRequestStarted = false
+
+        @Volatile
+        var isNewConnection = false
+
+        @Volatile
+        var hasRequestFailed = false
     }
 
     private val client: OkHttpClient =
         singleAttemptClient(HttpTimeouts(connectMillis = CONNECT_TIMEOUT_MILLIS, readMillis = 0), MAX_IDLE_CONNECTIONS)
             .newBuilder()
             .eventListener(ProgressListener)
-            .build()
+            .socketFactory(TargetSocketFactory)
+            .addNetworkInterceptor { chain ->
+                (chain.connection()?.socket() as? TargetSocket)?.onRequestStart()
+                chain.proceed(chain.request())
+            }.build()
+
+    /** Sends each request over a connection of its own. */
+    private val unpooledClient = client.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS)).build()
 
     /**
      * Sends [call] to [target] and returns when the head of the answer was received or the request failed. Cancels the request
@@ -88,38 +108,84 @@
                 .addHeaders(if (lastEventId == null) headers else withLastEventId(headers, lastEventId))
                 .tag(Progress::class.java, progress)
                 .build()
-        val httpCall = client.newCall(request)
-        httpCall.timeout().timeout(maxOf(remainingMillis, 1), TimeUnit.MILLISECONDS)
-        response.watch(httpCall::cancel)
+        // Without an id, only the first answer on a connection is known to belong to its request.
+        val firstClient = if (call.caller.requestId == null) unpooledClient else client
         return try {
-            outcomeOf(call, httpCall, httpCall.execute())
+            try {
+                execute(call, firstClient.newCall(request), progress, response)
+            } catch (e: UnexpectedBytesException) {
+                execute(call, unpooledClient.newCall(request), progress, response)
+            }
         } catch (e: IOException) {
             val detail = "${target.id}: ${e.javaClass.simpleName}: ${e.message}"
             if (progress.isRequestStarted) SendOutcome.Unknown(detail) else SendOutcome.NotRun(detail)
         }
     }
 
-    private fun outcomeOf(call: DirectCall, httpCall: Call, received: Response): SendOutcome {
+    private fun execute(
+        call: DirectCall,
+        httpCall: Call,
+        progress: Progress,
+        response: DirectResponse,
+    ): SendOutcome {
+        httpCall.timeout().timeout(maxOf(call.remainingMillis(System.nanoTime()), 1), TimeUnit.MILLISECONDS)
+        response.watch(httpCall::cancel)
+        response.onRequestSent()
+        return outcomeOf(call, httpCall, httpCall.execute(), progress)
+    }
+
+    private fun outcomeOf(
+        call: DirectCall,
+        httpCall: Call,
+        received: Response,
+        progress: Progress,
+    ): SendOutcome {
         val answer = decodeTargetAnswer(received.code, received::header)
-        if (call.caller.requestId != null && answer.requestId != null && answer.requestId != call.caller.requestId) {
-            // The answer belongs to an earlier request on this connection, so the connection must not be reused.
+        val fault = faultOf(call, received, answer, progress)
+        if (fault != null) {
+            // The rest of the answer must not reach another request, so the connection must not be reused.
             httpCall.cancel()
             received.close()
-            return SendOutcome.Unknown("answer belongs to request ${answer.requestId}")
+            return SendOutcome.Unknown(fault)
         }
         if (answer.isNotRun) {
             received.close()
-            return SendOutcome.NotRun("target answered ${received.code}")
+            return SendOutcome.NotRun("target answered ${received.code}", answer.failedTargetId)
         }
-        if (received.isSuccessful && !answer.isSealed) {
-            // A target that crashes may close its connection after the head, which looks like an empty answer.
-            httpCall.cancel()
+        if (answer.hasNotRunStatus) {
+            // Callers would take this status for the promise that the target did not give.
             received.close()
-            return SendOutcome.Unknown("success without a seal")
+            return SendOutcome.Unknown("target answered ${received.code} and may have run the request")
         }
         return SendOutcome.Answered(httpCall, received, answer)
     }
 
+    /** Returns why [received] cannot be the answer to [call], or null if it can. */
+    private fun faultOf(
+        call: DirectCall,
+        received: Response,
+        answer: TargetAnswer,
+        progress: Progress,
+    ): String? {
+        // An answer without an id on a connection that was used before may belong to an earlier request.
+        val belongsToCall = if (answer.requestId == null) progress.isNewConnection else answer.requestId == call.caller.requestId
+        return when {
+            !belongsToCall -> "answer ${received.code} belongs to request ${answer.requestId ?: "of unknown id"}"
+
+            received.code < HTTP_LOWEST_FINAL_STATUS -> "status ${received.code} is not that of a final answer"
+
+            answer.isNotRun -> null
+
+            // A target that crashes may close its connection after the head, which looks like an empty answer.
+            received.isSuccessful && !answer.isSealed -> "success without a seal"
+
+            progress.hasRequestFailed && received.endsWithConnection ->
+                "the connection failed while the request was sent, so the end of the answer cannot be recognised"
+
+            else -> null
+        }
+    }
+
     private fun DirectCall.requestBody() = body?.toRequestBody() ?: if (method in methodsWithBody) ByteArray(0).toRequestBody() else null
 
     private fun Request.Builder.addHeaders(headers: List<Header>): Request.Builder {
@@ -130,9 +196,21 @@
     }
 
     private object ProgressListener : EventListener() {
+        override fun connectStart(call: Call, inetSocketAddress: InetSocketAddress, proxy: Proxy) {
+            call.request().tag(Progress::class.java)?.isNewConnection = true
+        }
+
         override fun requestHeadersStart(call: Call) {
             call.request().tag(Progress::class.java)?.isRequestStarted = true
         }
+
+        override fun requestFailed(call: Call, ioe: IOException) {
+            call.request().tag(Progress::class.java)?.hasRequestFailed = true
+        }
+
+        override fun connectionReleased(call: Call, connection: Connection) {
+            (connection.socket() as? TargetSocket)?.onIdle()
+        }
     }
 }
 
--- a/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
@@ -4,6 +4,7 @@
 package io.jaybeam.side
 
 import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.endsWithConnection
 import io.jaybeam.runtime.http.singleAttemptClient
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.HeaderField
@@ -20,7 +21,6 @@
 import okhttp3.Response
 import okhttp3.internal.http.HttpMethod
 import java.io.IOException
-import java.util.concurrent.atomic.AtomicBoolean
 
 /** Health reported by a target. The defaults apply to members that the target does not report. */
 @Serializable
@@ -50,6 +50,8 @@
     setOf("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "host", "content-length", "proxy-connection")
 private val healthJson = Json { ignoreUnknownKeys = true }
 private const val READ_BUFFER_BYTES = 4_096
+private const val LOWEST_FINAL_STATUS = 200
+private const val EVENT_STREAM = "text/event-stream"
 private const val HEALTH_TIMEOUT_MILLIS = 500L
 
 /** Client of the target at [baseUrl]. Calls block. */
@@ -59,7 +61,7 @@
     private val callClient =
         singleAttemptClient(HttpTimeouts(readMillis = 0))
             .newBuilder()
-            .eventListenerFactory { call -> SendStartListener(call.request().tag(AtomicBoolean::class.java)) }
+            .eventListener(SendListener)
             .build()
     private val healthClient = singleAttemptClient(HttpTimeouts(HEALTH_TIMEOUT_MILLIS, HEALTH_TIMEOUT_MILLIS, HEALTH_TIMEOUT_MILLIS))
 
@@ -86,11 +88,11 @@
 
     /** Returns a call for [execute] that is not started yet. */
     fun newCall(execute: Frame.Execute): TargetCall {
-        val hasStartedSending = AtomicBoolean()
-        return TargetCall(callClient.newCall(buildRequest(execute, hasStartedSending)), hasStartedSending)
+        val progress = SendProgress()
+        return TargetCall(callClient.newCall(buildRequest(execute, progress)), progress)
     }
 
-    private fun buildRequest(execute: Frame.Execute, hasStartedSending: AtomicBoolean): Request {
+    private fun buildRequest(execute: Frame.Execute, progress: SendProgress): Request {
         val headers = Headers.Builder()
         execute.headers.filter { it.name.lowercase() !in hopByHopHeaders }.forEach { headers.addUnsafeNonAscii(it.name, it.value) }
         execute.tier?.let { headers["Jaybeam-Tier"] = it }
@@ -106,24 +108,37 @@
             .url(baseUrl + execute.path)
             .headers(headers.build())
             .method(execute.method, body)
-            .tag(AtomicBoolean::class.java, hasStartedSending)
+            .tag(SendProgress::class.java, progress)
             .build()
     }
 }
 
-/** Records that a call has started to send its request. */
-private class SendStartListener(
-    private val hasStartedSending: AtomicBoolean?,
-) : EventListener() {
+/** How far the request of one call has been sent. */
+internal class SendProgress {
+    /** Whether sending has started. */
+    @Volatile
+    var hasStarted = false
+
+    /** Whether sending has failed; the target may have answered nevertheless. */
+    @Volatile
+    var hasFailed = false
+}
+
+/** Records the [SendProgress] of calls. */
+private object SendListener : EventListener() {
     override fun requestHeadersStart(call: Call) {
-        hasStartedSending?.set(true)
+        call.request().tag(SendProgress::class.java)?.hasStarted = true
+    }
+
+    override fun requestFailed(call: Call, ioe: IOException) {
+        call.request().tag(SendProgress::class.java)?.hasFailed = true
     }
 }
 
-/** One call to the target. [hasStartedSending] is set when it starts to send its request. */
+/** One call to the target, which records how far its request has been sent in [progress]. */
 internal class TargetCall(
     private val call: Call,
-    private val hasStartedSending: AtomicBoolean,
+    private val progress: SendProgress,
 ) {
     /** Runs the call until it ends. [onHead] and [onBytes] receive the parts of the answer as they arrive. */
     fun run(onHead: (Int, List<HeaderField>) -> Unit, onBytes: (ByteArray) -> Unit): CallOutcome =
@@ -132,7 +147,7 @@
             CallOutcome.Complete
         } catch (e: IOException) {
             val detail = e.message ?: e.toString()
-            if (hasStartedSending.get()) CallOutcome.Lost(detail) else CallOutcome.NotSent(detail)
+            if (progress.hasStarted) CallOutcome.Lost(detail) else CallOutcome.NotSent(detail)
         }
 
     /** Cancels the call, so that [run] returns. */
@@ -140,15 +155,29 @@
         call.cancel()
     }
 
+    /** @throws IOException if the answer is incomplete. */
     private fun readAnswer(response: Response, onHead: (Int, List<HeaderField>) -> Unit, onBytes: (ByteArray) -> Unit) {
+        checkHead(response)
         val headers = response.headers.filter { it.first.lowercase() !in hopByHopHeaders }.map { HeaderField(it.first, it.second) }
         onHead(response.code, headers)
+        val boundary = if (response.header("Content-Type").orEmpty().startsWith(EVENT_STREAM, ignoreCase = true)) EventBoundary() else null
         val source = response.body.byteStream()
         val buffer = ByteArray(READ_BUFFER_BYTES)
         while (true) {
             val byteCount = source.read(buffer)
-            if (byteCount < 0) return
-            if (byteCount > 0) onBytes(buffer.copyOf(byteCount))
+            if (byteCount < 0) break
+            if (byteCount == 0) continue
+            val bytes = buffer.copyOf(byteCount)
+            boundary?.add(bytes)
+            onBytes(bytes)
+        }
+        if (boundary?.isAfterEvent == false) throw IOException("the stream ended in the middle of an event")
+    }
+
+    private fun checkHead(response: Response) {
+        if (response.code < LOWEST_FINAL_STATUS) throw IOException("status ${response.code} is not that of a final answer")
+        if (progress.hasFailed && response.endsWithConnection) {
+            throw IOException("the connection failed while the request was sent, so the end of the answer cannot be recognised")
         }
     }
 }
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
@@ -27,10 +27,12 @@
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
 import io.jaybeam.wire.Frame
+import io.jaybeam.wire.FrameCodec
 import io.jaybeam.wire.HEARTBEAT_INTERVAL_MILLIS
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkHandler
 import io.jaybeam.wire.LinkTotals
+import io.jaybeam.wire.initialMapLike
 
 // Holds the reports that a group of 64 ranks sends in several seconds.
 private const val QUEUE_CAPACITY = 1_024
@@ -43,6 +45,9 @@
 // An order is sent again after this time if it has not taken effect.
 private const val RESEND_INTERVAL_MILLIS = 500L
 
+// Interval at which the engine model is read again after the store has failed.
+private const val MODEL_READ_INTERVAL_MILLIS = 1_000L
+
 // Interval at which ranks with silent sides are read while a change waits for them.
 private const val DIRECT_READ_INTERVAL_MILLIS = 200L
 
@@ -54,6 +59,9 @@
 // next change reduces it further (`bench group` on the trace of one day).
 private const val MAX_EXPERT_LOAD_MILLIS = 110L
 
+// Digits and separators of an expert in the orders that go directly to a rank, which contain whole maps.
+private const val REMOTE_BYTES_PER_SLOT = 4
+
 // At this skew, passes are short enough for the accepted gap between events, so a change that reaches it need not load
 // more experts.
 private const val ACCEPTABLE_SKEW = 1.75
@@ -66,21 +74,27 @@
     val policy: GroupPlacementPolicy,
 )
 
+/** The experts of map [mapVersion] that a rank holds, by set. */
+private class HeldExperts(
+    val mapVersion: Long,
+    val sets: List<List<Int>>,
+)
+
 /**
  * Addresses and last known experts of a rank.
  *
  * @property address address of the rank itself.
  * @property link link to the rank's side; null if the side has not reported.
- * @property experts experts that the rank holds for the map in use, by set; null if they are unknown.
+ * @property experts experts that the rank held when they were last known; null if they never were. A later map may be in use.
  * @property lastReportAtMillis time of the last report from the rank's side; 0 if there was none.
- * @property acceptsMapChanges whether the side accepts changes of maps in place of whole maps.
+ * @property mapForm most compact form in which the side accepts maps.
  */
 private class RankPeer(
     val address: HostPort,
     val link: Link?,
-    val experts: List<List<Int>>?,
+    val experts: HeldExperts?,
     val lastReportAtMillis: Long,
-    val acceptsMapChanges: Boolean,
+    val mapForm: MapForm,
 )
 
 /** Identifies a sent order; [isRemote] orders go directly to the rank, others through its side. */
@@ -105,6 +119,7 @@
     private val demandWindow = DemandWindow(DEMAND_WINDOW_MILLIS)
     private val peers = HashMap<Int, RankPeer>()
     private val sentMaps = SentMaps()
+    private val mapBudget = SendBudget(nowMillis)
     private val sentAtMillis = HashMap<SentOrder, Long>()
     private val remoteRanks = RemoteRankClient(store, settings.targetService, rankPortAt, events) { offer(it) }
     private val load = CoordinatorLoad(linkTotals, events)
@@ -112,6 +127,8 @@
     private var deposedGeneration = 0L
     private var activeCoordinator: MapChangeCoordinator? = null
     private var engineModel: EngineModel? = null
+    private var isEngineModelMissed = false
+    private var lastModelReadAtMillis = 0L
     private var proposedMap: GroupMap? = null
     private var proposedMapVersion = 0L
     private var isPlanning = false
@@ -188,9 +205,10 @@
         if (generation == null) return message.link.close("another process coordinates the group")
         val rank = report.reading.rank
         val knownPeer = peers[rank]
-        val isSameMap = activeCoordinator?.lastReadings?.get(rank)?.mapVersion == report.reading.mapVersion
-        val experts = report.experts ?: knownPeer?.experts?.takeIf { knownPeer.link === message.link && isSameMap }
-        peers[rank] = RankPeer(report.address, message.link, experts, nowMillis(), report.acceptsMapChanges)
+        val experts =
+            report.experts?.let { HeldExperts(report.reading.mapVersion, it) }
+                ?: knownPeer?.experts?.takeIf { knownPeer.link === message.link }
+        peers[rank] = RankPeer(report.address, message.link, experts, nowMillis(), report.acceptedMapForm)
         if (activeCoordinator == null) startCoordinating(report)
         activeCoordinator?.onReading(report.reading)
         demandWindow.add(report.compactDemand?.toList() ?: report.demand, nowMillis())
@@ -207,8 +225,7 @@
                 coordinatorRank,
                 currentGeneration shl FENCE_BITS_PER_TERM,
             )
-        engineModel = readEngineModel()
-        remoteRanks.reportLagMillis = engineModel?.reportLagMillis ?: 0
+        readEngineModel()
         startedAtMillis = nowMillis()
         demandWindow.clear()
     }
@@ -219,28 +236,35 @@
         if (message.status.group != localGroup()) return
         val rank = message.status.reading.rank
         val knownPeer = peers[rank]
-        if (knownPeer == null) peers[rank] = RankPeer(message.address, null, null, 0, acceptsMapChanges = false)
+        if (knownPeer == null) peers[rank] = RankPeer(message.address, null, null, 0, MapForm.WHOLE)
         // A report from the rank's side is more recent.
         if (knownPeer != null && !isSilent(knownPeer)) return
         coordinator.onReading(message.status.reading)
         advance()
     }
 
-    private fun readEngineModel(): EngineModel? =
-        store.readLatestOperatorUpdates().fold(
-            { fault ->
-                events.write(LogEvent.STORE_LOST, LogField("follower", "coordinator"), LogField("detail", fault.detail))
-                null
-            },
-            { logPage ->
-                val config =
-                    logPage.updates
-                        .filterIsInstance<OperatorUpdate.Published>()
-                        .maxByOrNull { it.config.version }
-                        ?.config
-                config?.services?.firstOrNull { it.name == settings.targetService }?.engine
-            },
-        )
+    /** Reads the engine model. It is read again on a later tick if the store fails. */
+    private fun readEngineModel() {
+        lastModelReadAtMillis = nowMillis()
+        isEngineModelMissed = false
+        engineModel =
+            store.readLatestOperatorUpdates().fold(
+                { fault ->
+                    events.write(LogEvent.STORE_LOST, LogField("follower", "coordinator"), LogField("detail", fault.detail))
+                    isEngineModelMissed = true
+                    null
+                },
+                { logPage ->
+                    val config =
+                        logPage.updates
+                            .filterIsInstance<OperatorUpdate.Published>()
+                            .maxByOrNull { it.config.version }
+                            ?.config
+                    config?.services?.firstOrNull { it.name == settings.targetService }?.engine
+                },
+            )
+        remoteRanks.reportLagMillis = engineModel?.reportLagMillis ?: 0
+    }
 
     private fun onReply(frame: Frame.RankReply) {
         if (frame.order is FencedOrder.Hold) isHoldOutcomeUnknown = frame.outcome == OrderOutcome.UNKNOWN
@@ -267,7 +291,7 @@
             LogField("expertsLoaded", "${plan.expertsLoaded}"),
             LogField("tookMillis", "${message.durationMillis}"),
         )
-        proposedMap = proposedMap?.let(plan.map::alignedTo) ?: plan.map
+        proposedMap = plan.map.alignedTo(proposedMap ?: initialMapLike(plan.map))
         proposedMapVersion = coordinator.propose(nowMillis())
         advance()
     }
@@ -279,6 +303,8 @@
             peers.values.forEach { it.link?.send(Frame.Heartbeat(0)) }
         }
         if (activeCoordinator != null) load.logIfDue(worker.backlog, now)
+        val isModelReadDue = isEngineModelMissed && now - lastModelReadAtMillis >= MODEL_READ_INTERVAL_MILLIS
+        if (activeCoordinator != null && isModelReadDue) readEngineModel()
         readSilentRanks(now)
         advance()
     }
@@ -323,25 +349,35 @@
         val key = SentOrder(order, isRemote = (order is FencedOrder.Hold && !isHoldOutcomeUnknown) || isSilent(peer))
         val lastSentAtMillis = sentAtMillis[key]
         if (lastSentAtMillis != null && nowMillis() - lastSentAtMillis < RESEND_INTERVAL_MILLIS) return
+        // Sent with one of the next calls, as the order stays due.
+        if (order is FencedOrder.Prepare && !mapBudget.hasRoom()) return
         sentAtMillis[key] = nowMillis()
         load.onOrderSent(order, nowMillis())
         val map = proposedMap.takeIf { order is FencedOrder.Prepare }
-        if (key.isRemote) remoteRanks.sendOrder(peer.address, order, map) else sendThroughSide(peer, order, map)
+        if (key.isRemote) {
+            remoteRanks.sendOrder(peer.address, order, map)
+            if (map != null) mapBudget.spend(map.sets.sumOf { it.expertBySlot.size } * REMOTE_BYTES_PER_SLOT)
+        } else {
+            sendThroughSide(peer, order, map)
+        }
     }
 
     private fun sendThroughSide(peer: RankPeer, order: FencedOrder, map: GroupMap?) {
         val link = peer.link ?: return
         val isWithMap = order is FencedOrder.Prepare && map != null
-        link.send(if (isWithMap) sentMaps.orderFrame(link, order, map, peer.acceptsMapChanges) else Frame.RankOrder(order, map = null))
+        val frame = if (isWithMap) sentMaps.orderFrame(link, order, map, peer.mapForm) else Frame.RankOrder(order, map = null)
+        link.send(frame)
+        if (isWithMap) mapBudget.spend(FrameCodec.encode(frame).size)
     }
 
     private fun requestPlan(coordinator: MapChangeCoordinator) {
         val model = engineModel ?: return
-        recordExpertsOfNewMap(coordinator)
+        val mapVersion = coordinator.mapVersion ?: return
+        recordExpertsOfNewMap(mapVersion)
         val experts =
             coordinator.lastReadings.keys
                 .sorted()
-                .map { peers[it]?.experts ?: return }
+                .map { expertsOrNull(it, mapVersion) ?: return }
         val demand = demandWindow.demand(model.expertSets, nowMillis()) ?: return
         if (nowMillis() - lastPlanAtMillis < PLAN_INTERVAL_MILLIS) return
         lastPlanAtMillis = nowMillis()
@@ -352,16 +388,17 @@
         isPlanning = planner.offer(PlanRequest(groupMapOf(experts, model.slotsPerRank), demand, policy))
     }
 
-    /** Records the experts of the proposed map once it is in use, so that they need not be read from the ranks. */
-    private fun recordExpertsOfNewMap(coordinator: MapChangeCoordinator) {
-        val map = proposedMap ?: return
-        if (coordinator.mapVersion != proposedMapVersion) return
-        peers.entries.filter { it.value.experts == null }.forEach { (rank, peer) ->
-            val experts = map.sets.indices.map { map.expertsOf(it, rank).distinct() }
-            peers[rank] = RankPeer(peer.address, peer.link, experts, peer.lastReportAtMillis, peer.acceptsMapChanges)
+    /** Records the experts of the proposed map, once it is in use, for ranks whose sides have not reported them yet. */
+    private fun recordExpertsOfNewMap(mapVersion: Long) {
+        val map = proposedMap?.takeIf { mapVersion == proposedMapVersion } ?: return
+        peers.entries.filter { it.value.experts?.mapVersion != mapVersion }.forEach { (rank, peer) ->
+            val experts = HeldExperts(mapVersion, map.sets.indices.map { map.expertsOf(it, rank).distinct() })
+            peers[rank] = RankPeer(peer.address, peer.link, experts, peer.lastReportAtMillis, peer.mapForm)
         }
     }
 
+    private fun expertsOrNull(rank: Int, mapVersion: Long) = peers[rank]?.experts?.takeIf { it.mapVersion == mapVersion }?.sets
+
     private fun plan(request: PlanRequest) {
         val planStartedAtMillis = nowMillis()
         val plan = planQuickestPlacement(request.map, request.demand, request.policy, ACCEPTABLE_SKEW)
--- /dev/null
+++ b/side/src/test/kotlin/io/jaybeam/side/TargetClientTest.kt
@@ -0,0 +1,100 @@
+package io.jaybeam.side
+
+import io.jaybeam.wire.Frame
+import io.jaybeam.wire.HeaderField
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+// Larger than the buffers of a connection, so that the body is still being sent when the connection is reset.
+private const val LARGE_BODY_BYTES = 33_554_432
+private const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+private const val EVENT = "data: a\n\n"
+
+internal class TargetClientTest {
+    private val server = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
+    private val client = TargetClient("http://127.0.0.1:${server.localPort}")
+    private val statuses = mutableListOf<Int>()
+
+    @AfterTest
+    fun close() = server.close()
+
+    @Test
+    fun `an answer without a length is complete when its connection ends regularly`() {
+        assertEquals(CallOutcome.Complete, run("HTTP/1.1 200 OK\r\n\r\nall of it") { it.close() })
+    }
+
+    @Test
+    fun `an answer without a length is lost when its connection is reset`() {
+        assertIs<CallOutcome.Lost>(run("HTTP/1.1 200 OK\r\n\r\na part", end = ::reset))
+    }
+
+    @Test
+    fun `an answer without a length is lost when the reset ended the sending of the request first`() {
+        assertIs<CallOutcome.Lost>(run("HTTP/1.1 200 OK\r\n\r\na part", LARGE_BODY_BYTES, ::reset))
+    }
+
+    @Test
+    fun `an event stream is complete when it ends after an event`() {
+        assertEquals(CallOutcome.Complete, run("$STREAM_HEAD\r\n$EVENT") { it.close() })
+        assertEquals(CallOutcome.Complete, run("$STREAM_HEAD\r\ndata: a\r\n\r\n") { it.close() })
+        assertEquals(CallOutcome.Complete, run("$STREAM_HEAD\r\n") { it.close() })
+    }
+
+    @Test
+    fun `an event stream that ends inside an event is lost`() {
+        assertIs<CallOutcome.Lost>(run("$STREAM_HEAD\r\n${EVENT}data: b") { it.close() })
+        assertIs<CallOutcome.Lost>(run("$STREAM_HEAD\r\n${EVENT}data: b\n") { it.close() })
+    }
+
+    @Test
+    fun `an event stream in chunks that ends inside an event is lost`() {
+        assertIs<CallOutcome.Lost>(run("${STREAM_HEAD}Transfer-Encoding: chunked\r\n\r\n7\r\ndata: b\r\n0\r\n\r\n") { it.close() })
+    }
+
+    @Test
+    fun `an interim status is not passed on as that of an answer`() {
+        assertIs<CallOutcome.Lost>(run("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n") { it.close() })
+        assertEquals(emptyList(), statuses)
+    }
+
+    private fun reset(socket: Socket) {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
+    /** Runs a call of which the target reads only the head before it sends [answer], and calls [end] a moment later. */
+    private fun run(answer: String, bodyBytes: Int = 0, end: (Socket) -> Unit): CallOutcome {
+        thread(isDaemon = true) {
+            val socket = server.accept()
+            val lines = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1).lineSequence()
+            lines.takeWhile { it.isNotEmpty() }.count()
+            socket.getOutputStream().write(answer.encodeToByteArray())
+            Thread.sleep(200)
+            end(socket)
+        }
+        val execute =
+            Frame.Execute(
+                requestId = "r1",
+                attemptId = 1,
+                ticket = null,
+                organisation = "org",
+                tier = null,
+                method = "POST",
+                path = "/x",
+                headers = emptyList<HeaderField>(),
+                body = ByteArray(bodyBytes),
+                fingerprint = "f",
+                isSuspect = false,
+                deadlineMillis = 5_000,
+                fromChunk = 0,
+                attachOnly = false,
+            )
+        return client.newCall(execute).run(onHead = { status, _ -> statuses += status }, onBytes = {})
+    }
+}
--- a/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
@@ -11,6 +11,8 @@
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.placement.GroupMap
 import io.jaybeam.core.placement.GroupMapChange
+import io.jaybeam.core.quarantine.BlamedTrait
+import io.jaybeam.core.quarantine.RequestTrait
 import io.jaybeam.core.rankgroup.FencedOrder
 import io.jaybeam.core.rankgroup.OrderOutcome
 import io.jaybeam.core.rankgroup.RankReading
@@ -197,7 +199,8 @@
      * no counts. [demand] are the counts of sides of earlier releases, which do not send [compactDemand]; otherwise empty.
      * [experts] lists the experts of the current map by set; null unless the map has changed or the coordinator is new.
      * [address] is the address of the rank itself, at which it can be reached without its side.
-     * [acceptsMapChanges] is false for sides of earlier releases, which need a whole map in each [RankOrder].
+     * [acceptsMapChanges] and [acceptsCompactMapChanges] are false for sides of earlier releases, which need a whole map, or a
+     * [GroupMapChange], in each [RankOrder].
      */
     @Serializable
     @SerialName("rr")
@@ -209,12 +212,14 @@
         @CborLabel(5) val address: HostPort,
         @CborLabel(6) val compactDemand: CompactCounts? = null,
         @CborLabel(7) val acceptsMapChanges: Boolean = false,
+        @CborLabel(8) val acceptsCompactMapChanges: Boolean = false,
     ) : Frame()
 
     /**
      * Asks the side to forward [order] to its rank.
      *
-     * An order to prepare a map is accompanied by [map], or by [mapChange] from the map that was last sent over the link.
+     * An order to prepare a map is accompanied by [map], or by [mapChange] or [compactMapChange] from the map that was last sent
+     * over the link.
      */
     @Serializable
     @SerialName("ro")
@@ -222,6 +227,7 @@
         @CborLabel(1) val order: FencedOrder,
         @CborLabel(2) val map: GroupMap?,
         @CborLabel(3) val mapChange: GroupMapChange? = null,
+        @CborLabel(4) val compactMapChange: CompactMapChange? = null,
     ) : Frame()
 
     /** Outcome of an order, and the rank's state after it. */
@@ -233,7 +239,10 @@
         @CborLabel(3) val reading: RankReading?,
     ) : Frame()
 
-    /** First frame in each direction of a link between entries. [peerAddresses] are addresses of other entries. */
+    /**
+     * First frame in each direction of a link between entries. [peerAddresses] are addresses of other entries.
+     * [acceptsQuarantineNews] is false for entries of earlier releases, which do not know [QuarantineNews].
+     */
     @Serializable
     @SerialName("ph")
     public data class PeerHello(
@@ -241,6 +250,15 @@
         @CborLabel(2) val instance: String,
         @CborLabel(3) val address: HostPort,
         @CborLabel(4) @SerialName("known") val peerAddresses: List<HostPort>,
+        @CborLabel(5) val acceptsQuarantineNews: Boolean = false,
+    ) : Frame()
+
+    /** Traits of requests that are [blamed] for crashes of targets, and traits that are [cleared] of blame by a target's output. */
+    @Serializable
+    @SerialName("qn")
+    public data class QuarantineNews(
+        @CborLabel(1) val blamed: List<BlamedTrait>,
+        @CborLabel(2) val cleared: List<RequestTrait>,
     ) : Frame()
 
     /**
