A crashing part among parts that were never answered is quarantined

What callers saw: targets crash one after the other as long as each request with the crashing part brings another part that no target has answered yet.

Cause: each such crash blamed the crashing part together with a new one, and a part that is blamed jointly was neither quarantined nor kept back, because it waited to be told apart from a part that did not come again.

What may explain all crashes of a part must have been in each of the prompts, so the parts that are blamed with it are those that its crashes have in common. If none is left, it is quarantined.

--- a/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
@@ -8,7 +8,8 @@
  *
  * Blame may be wrong, as a target may crash for another reason in that moment. So a blamed trait is tried again, with one request
  * at a time; if that crashes its target too, requests with the trait are refused for [QUARANTINE_MILLIS]. If several parts of one
- * prompt are to blame, they are told apart by requests with only one of them, and by instances that have seen output of some.
+ * prompt are to blame, they are told apart by requests with only one of them, and by instances that have seen output of some; a part
+ * that two crashes have in common, and no other, is quarantined.
  *
  * The load for which it is made: requests that share one part of their prompt and crash every target that answers them come at any
  * instance several times a second, among sound requests that share their organisation and all their other parts.
@@ -56,7 +57,7 @@
  * @property crashes number of crashes for which it is blamed, each but the first after a trial.
  * @property lastCrashAgeMillis time from the last of them to the moment of sending.
  * @property isQuarantined whether a trial of it alone crashed a target.
- * @property jointParts other parts of the same prompt that are blamed for the last crash.
+ * @property jointParts other parts of the same prompts that may be the cause of all these crashes instead.
  */
 @Serializable
 public data class BlamedTrait(
@@ -179,13 +180,17 @@
         }
     }
 
-    private fun Record.blamed(jointParts: List<RequestTrait>, nowMillis: Long): Record =
-        copy(
+    private fun Record.blamed(otherParts: List<RequestTrait>, nowMillis: Long): Record {
+        // What explains all crashes of this trait must have been there at each of them.
+        val wasJoint = jointParts.isNotEmpty()
+        val commonParts = if (wasJoint) jointParts.intersect(otherParts.toSet()).toList() else otherParts
+        return copy(
             crashes = crashes + 1,
             lastCrashMillis = nowMillis,
-            isQuarantined = isBlamed && jointParts.isEmpty(),
-            jointParts = jointParts,
+            isQuarantined = isBlamed && commonParts.isEmpty(),
+            jointParts = commonParts,
         )
+    }
 
     /** Returns the blamed traits, for other instances. */
     @Synchronized
--- a/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
@@ -122,6 +122,22 @@
         assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(crashing), 201))
     }
 
+    @Test
+    fun `a crashing part is quarantined although each request with it has another part that was never answered`() {
+        var nowMillis = 0L
+        val crashes =
+            (1..100).count { number ->
+                nowMillis += 1_000
+                val traits = listOf(shared, crashing, RequestTrait.PromptPart("rare-$number"), content(number))
+                val decision = quarantine.admit(traits, nowMillis)
+                if (decision !is QuarantineDecision.Refuse) quarantine.onCrash(traits, nowMillis, nowMillis + 5)
+                if (decision is QuarantineDecision.Try) quarantine.endTrial(decision.traits)
+                quarantine.onOutput(listOf(shared), nowMillis + 10)
+                decision !is QuarantineDecision.Refuse
+            }
+        assertTrue(crashes < 4, "$crashes crashes")
+    }
+
     /** Replays crashing requests among sound ones that share their first part, at a group that each crash takes down for 3.2 s. */
     @Test
     fun `requests with a crashing part crash fewer than five targets in ten minutes, and sound ones are served`() {
@@ -152,8 +168,7 @@
                 crashes += 1
                 groupUpMillis = nowMillis + 3_200
                 instance.onCrash(traits, nowMillis, nowMillis + 5)
-                val reviews = instances.map { it.onBlamedElsewhere(instance.blamedTraits(nowMillis + 6), nowMillis + 6) }
-                reviews.forEach { review -> instances.forEach { it.onOutputElsewhere(review.refuted, nowMillis + 7) } }
+                tellAll(instances, instance.blamedTraits(nowMillis + 6), nowMillis + 6)
             } else {
                 val cleared = instance.onOutput(traits, nowMillis + 150)
                 instances.forEach { it.onOutputElsewhere(cleared, nowMillis + 151) }
@@ -163,4 +178,9 @@
         assertTrue(crashes < 5, "$crashes crashes")
         assertTrue(refusedSound <= sound / 100, "$refusedSound of $sound sound requests were refused")
     }
+
+    private fun tellAll(instances: List<CrashQuarantine>, blamed: List<BlamedTrait>, nowMillis: Long) {
+        val refuted = instances.flatMap { it.onBlamedElsewhere(blamed, nowMillis).refuted }
+        instances.forEach { it.onOutputElsewhere(refuted, nowMillis + 1) }
+    }
 }
