Requests that were in flight at crashes do not push out what is known of parts

What callers saw: after many crashes under load, sound requests are refused after a crash, because parts that targets have answered count as never answered.

Cause: the content of each request that a crashed target had not begun to answer is blamed. Most never comes again, so it stays blamed, and records that are not blamed were forgotten first.

Evidence: the new test failed: the shared part was blamed with the new one.

Blamed traits now take at most half of the records; contents are forgotten first, so that a quarantined part is kept.

--- a/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
@@ -238,9 +238,18 @@
         while (recordByTrait.size > capacity) forgetEldest()
     }
 
-    /** Prefers traits that are not blamed, so that a flood of new traits does not end a quarantine. */
+    /**
+     * Prefers traits that are not blamed, so that a flood of new traits does not end a quarantine. Half of the records are kept for
+     * them all the same, as the content of each request that was in flight at a crash is blamed, and most never comes again.
+     */
     private fun forgetEldest() {
-        val eldest = recordByTrait.entries.firstOrNull { !it.value.isBlamed } ?: recordByTrait.entries.first()
+        val records = recordByTrait.entries
+        val eldest =
+            if (blamedCount > capacity / 2) {
+                records.firstOrNull { it.value.isBlamed && it.key is RequestTrait.Content } ?: records.first { it.value.isBlamed }
+            } else {
+                records.first { !it.value.isBlamed }
+            }
         if (eldest.value.isBlamed) blamedCount -= 1
         recordByTrait.remove(eldest.key)
     }
--- a/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
@@ -138,6 +138,19 @@
         assertTrue(crashes < 4, "$crashes crashes")
     }
 
+    @Test
+    fun `requests that were in flight at many crashes do not push out what is known of parts`() {
+        quarantine.onOutput(listOf(shared), 0)
+        repeat(2_000) { quarantine.onCrash(listOf(content(it)), 10, 20) }
+        quarantine.onCrash(listOf(crashing), 25, 30)
+        repeat(2_000) { quarantine.onCrash(listOf(content(2_000 + it)), 35, 40) }
+        assertEquals(
+            listOf<RequestTrait>(RequestTrait.PromptPart("new")),
+            quarantine.onCrash(listOf(shared, RequestTrait.PromptPart("new")), 45, 50),
+        )
+        assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(crashing), 60))
+    }
+
     /** Replays crashing requests among sound ones that share their first part, at a group that each crash takes down for 3.2 s. */
     @Test
     fun `requests with a crashing part crash fewer than five targets in ten minutes, and sound ones are served`() {
