A target that fails a request does not clear its prompt of blame

What callers saw: targets crash again after a request with the crashing part was answered with a server error.

Cause: any answer counted as output, but a target may fail a request before it reads the prompt.

Answers with status 500 and above neither clear a request's traits nor count as a lost attempt.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -296,7 +296,8 @@
             val source = received.body.source()
             // A short answer is read completely before it is relayed, so that the request can be retried if reading fails.
             val isLong = source.request(BUFFERED_ANSWER_LIMIT_BYTES)
-            recordOutput()
+            // A target may fail a request before it reads the prompt, which shows nothing of the prompt.
+            if (received.code < HTTP_SERVER_ERROR) recordOutput() else hasAttemptOutput = true
             if (!isLong) return relayShort(BufferedAnswer(received.code, headersOf(received, keepLength = false), source.readByteArray()))
             response.sendHead(received.code, headersOf(received, keepLength = true))
             return relayLong(source, received)
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
@@ -17,6 +17,9 @@
 private const val RESTART_MILLIS = 40L
 private const val CRASHING_PART = "dead"
 
+// A target answers it with status 500 before it reads the prompt.
+private const val FAILING_PATH = "/stream/fail"
+
 // The rule on crashing requests begins to count after this many crashes.
 private const val MAX_CRASHES = 5
 
@@ -73,6 +76,10 @@
             repeat(length) { input.read() }
             if (path == "/safe/crash") return crash()
             val out = socket.getOutputStream()
+            if (path == FAILING_PATH) {
+                out.write("HTTP/1.1 500 Internal Server Error\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n".encodeToByteArray())
+                continue
+            }
             out.startStream(ReceivedRequest(path, mapOf("request-id" to "r1"), socket), seal = "s")
             if (headers.any { it.startsWith("Prefix-Hash:") && CRASHING_PART in it }) return crash()
             out.writeChunk("id: 0\ndata: a\n\n")
@@ -89,11 +96,16 @@
     private val targets = List(4) { closedAfterTest(CrashingTarget()) }
     private val crashes: Int get() = targets.sumOf { it.crashes.get() }
 
-    private fun stream(port: Int, parts: String, body: String): CallerAnswer {
+    private fun stream(
+        port: Int,
+        parts: String,
+        body: String,
+        path: String = "/stream/x",
+    ): CallerAnswer {
         // Crashed targets have time to start again, as on a site where such requests come now and then.
         Thread.sleep(RESTART_MILLIS * 2)
         val caller = connectCaller(port)
-        caller.send("POST", "/stream/x", body = body, headers = listOf("Prefix-Hash: $parts"))
+        caller.send("POST", path, body = body, headers = listOf("Prefix-Hash: $parts"))
         return caller.read()
     }
 
@@ -137,4 +149,16 @@
         assertTrue(crashes < MAX_CRASHES, "$crashes crashes")
         assertEquals(200, connectCaller(ports[0]).call("GET", "/safe/other").status)
     }
+
+    @Test
+    fun `a target that fails a request does not show that its prompt is sound`() {
+        val ports = startLinkedEntries(targets.map { it.port })
+        ports.forEach { stream(it, "5e:40,$CRASHING_PART:70,0:9", "failing", FAILING_PATH) }
+        repeat(12) {
+            stream(ports[it % 2], "5e:40,$CRASHING_PART:70,$it:9", "body $it")
+            stream(ports[it % 2], "5e:40,1:9", "sound $it")
+            stream(ports[it % 2], "5e:40,$CRASHING_PART:70,$it:9", "failing $it", FAILING_PATH)
+        }
+        assertTrue(crashes < MAX_CRASHES, "$crashes crashes")
+    }
 }
