--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
@@ -20,6 +20,9 @@
 // A target answers it with status 500 before it reads the prompt.
 private const val FAILING_PATH = "/stream/fail"
 
+// A target crashes after a head that says that the answer ends with the connection.
+private const val UNFRAMED_PATH = "/stream/unframed"
+
 // The rule on crashing requests begins to count after this many crashes.
 private const val MAX_CRASHES = 5
 
@@ -80,6 +83,10 @@
                 out.write("HTTP/1.1 500 Internal Server Error\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n".encodeToByteArray())
                 continue
             }
+            if (path == UNFRAMED_PATH) {
+                out.write("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n".encodeToByteArray())
+                return crash()
+            }
             out.startStream(ReceivedRequest(path, mapOf("request-id" to "r1"), socket), seal = "s")
             if (headers.any { it.startsWith("Prefix-Hash:") && CRASHING_PART in it }) return crash()
             out.writeChunk("id: 0\ndata: a\n\n")
@@ -161,4 +168,11 @@
         }
         assertTrue(crashes < MAX_CRASHES, "$crashes crashes")
     }
+
+    @Test
+    fun `a target that crashes after a head without a length is recognised`() {
+        val ports = startLinkedEntries(targets.map { it.port })
+        repeat(12) { stream(ports[it % 2], "5e:40,$CRASHING_PART:70,$it:9", "body $it", UNFRAMED_PATH) }
+        assertTrue(crashes < MAX_CRASHES, "$crashes crashes")
+    }
 }
