--- a/wire/src/test/kotlin/io/jaybeam/wire/FrameCodecTest.kt
+++ b/wire/src/test/kotlin/io/jaybeam/wire/FrameCodecTest.kt
@@ -1,7 +1,12 @@
 package io.jaybeam.wire
 
+import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.ticket.TargetIncarnation
 import io.jaybeam.core.ticket.Ticket
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborLabel
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import kotlin.random.Random
@@ -10,7 +15,36 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
+/** The greeting between entries before quarantine news. */
+@Serializable
+private sealed class EarlierFrame {
+    @Serializable
+    @SerialName("ph")
+    data class PeerHello(
+        @CborLabel(1) val protocolVersion: Int,
+        @CborLabel(2) val instance: String,
+        @CborLabel(3) val address: HostPort,
+        @CborLabel(4) @SerialName("known") val peerAddresses: List<HostPort>,
+    ) : EarlierFrame()
+}
+
 internal class FrameCodecTest {
+    private val earlierCbor =
+        Cbor {
+            ignoreUnknownKeys = true
+            preferCborLabelsOverNames = true
+        }
+    private val address = HostPort("h", 1)
+
+    @Test
+    fun `an entry of an earlier release reads the greeting of this one, and the other way round`() {
+        val hello = Frame.PeerHello(1, "e", address, listOf(address), acceptsQuarantineNews = true)
+        val read = earlierCbor.decodeFromByteArray(EarlierFrame.serializer(), FrameCodec.encode(hello))
+        assertEquals(EarlierFrame.PeerHello(1, "e", address, listOf(address)), read)
+        val earlier = earlierCbor.encodeToByteArray(EarlierFrame.serializer(), read)
+        assertEquals(hello.copy(acceptsQuarantineNews = false), FrameCodec.decode(earlier).getOrNull())
+    }
+
     private val ticket = Ticket("t", "booking", "org", 5, listOf(TargetIncarnation("i", "a")))
     private val execute =
         Frame.Execute(
