An entry that connects is told of crashing parts first

What callers saw: an entry that starts again sends requests with a crashing part to targets, though other entries keep them back.

Cause: an entry that connects is told of up to 256 blamed traits, the last ones that were blamed. The content of each request that was in flight at a later crash is among them, so the crashing part was left out.

Evidence: the new test failed: after 300 requests in flight at a later crash, the entry that connected admitted the crashing part.

Parts of prompts and quarantined contents go before contents that are blamed once.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
@@ -128,10 +128,14 @@
         return if (review.accepted.isEmpty() && cleared.isEmpty()) null else Frame.QuarantineNews(review.accepted, cleared)
     }
 
-    /** Returns the traits that are blamed now, for an entry that has just connected; null if there is none. */
+    /**
+     * Returns the traits that are blamed now, for an entry that has just connected; null if there is none. If there are too many, the
+     * content of requests that were in flight at a crash is left out first.
+     */
     fun currentNews(): Frame.QuarantineNews? =
         quarantine
             .blamedTraits(nowMillis())
+            .sortedBy { it.trait is RequestTrait.PromptPart || it.isQuarantined }
             .takeLast(MAX_TRAITS_PER_FRAME)
             .takeIf { it.isNotEmpty() }
             ?.let { Frame.QuarantineNews(it, emptyList()) }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashGuardTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashGuardTest.kt
@@ -14,6 +14,7 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 import kotlin.time.Clock
 
@@ -95,6 +96,20 @@
 }
 
 internal class CrashGuardTest {
+    @Test
+    fun `an entry that connects is told of a crashing part although many requests were in flight at later crashes`() {
+        var nowMillis = 1_000L
+        val guard = CrashGuard(EventLog("entry", Clock.System), { true }, { nowMillis })
+        guard.onAttemptLost(call("crashing"), target, AttemptProgress.HEAD, nowMillis - 1)
+        repeat(300) {
+            nowMillis += 1
+            guard.onAttemptLost(call(body = "$it"), target, AttemptProgress.NOTHING, nowMillis - 1)
+        }
+        val joined = CrashGuard(EventLog("joined", Clock.System), { true }, { nowMillis })
+        guard.currentNews()?.let { joined.onNews(it, "entry") }
+        assertNotNull(joined.refusalOf(call("crashing", body = "other")))
+    }
+
     @Test
     fun `blame that other entries refute ends at all entries, and each passes it on once`() {
         repeat(5) { seed ->
