Attempts that a target ends at the same time share the probe of the target

What callers saw: nothing yet; the target got a connection for each request that it lost.

Cause: each lost attempt without output probed its target by itself.

Evidence: the new test failed: 50 attempts lost in one instant made 50 probes.

One probe of a target runs at a time; its result holds for all who asked before it began, so a crash cannot be missed because of a probe before it. A refusal or a timeout holds for those who asked while it ran, too, so no request waits for two timeouts.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
@@ -25,7 +25,7 @@
 private const val MAX_TRAITS = 4_096
 
 // A target on the same network accepts or refuses a connection within a few ms.
-private const val PROBE_TIMEOUT_MILLIS = 300
+internal const val PROBE_TIMEOUT_MILLIS = 300
 private const val MAX_TRAITS_PER_FRAME = 256
 
 /** What a target had sent when it ended an attempt. */
@@ -60,9 +60,10 @@
 /** Crash quarantine of one entry. Thread-safe. */
 internal class CrashGuard(
     private val events: EventLog,
-    private val probe: TargetProbe = connectionProbe,
+    probe: TargetProbe = connectionProbe,
     private val nowMillis: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
 ) {
+    private val probe = SharedProbe(probe)
     private val quarantine = CrashQuarantine(MAX_TRAITS)
     private val listeners = CopyOnWriteArrayList<(Frame.QuarantineNews) -> Unit>()
 
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashGuardTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashGuardTest.kt
@@ -11,6 +11,8 @@
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.wire.Frame
 import java.util.PriorityQueue
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -19,6 +21,7 @@
 import kotlin.time.Clock
 
 private const val MAX_DELAY_MILLIS = 40L
+private const val PROBE_MILLIS = 100L
 
 private val route =
     Route("r", "shop.example", "/", RouteKind.STREAM, 900L, 100, 1, listOf(WeightedService("plain", 1)), 2, false, true, 0)
@@ -110,6 +113,21 @@
         assertNotNull(joined.refusalOf(call("crashing", body = "other")))
     }
 
+    @Test
+    fun `attempts that are lost in one instant share the probe of their target`() {
+        val probes = AtomicInteger()
+        val probe =
+            TargetProbe {
+                probes.incrementAndGet()
+                Thread.sleep(PROBE_MILLIS)
+                false
+            }
+        val guard = CrashGuard(EventLog("entry", Clock.System), probe)
+        val lost = List(50) { thread { guard.onAttemptLost(call(body = "$it"), target, AttemptProgress.NOTHING, 0) } }
+        lost.forEach { it.join() }
+        assertTrue(probes.get() <= 3, "${probes.get()} probes")
+    }
+
     @Test
     fun `blame that other entries refute ends at all entries, and each passes it on once`() {
         repeat(5) { seed ->
