A part that alone explains its first crash is quarantined by a second one, whatever parts are new beside it

Callers saw: a third crash, if the trial of a blamed part holds another part that no target has answered yet. Cause: only parts that were blamed jointly before were compared with the prompt of the next crash; one that was alone to blame became joint. Evidence: the new test of CrashQuarantineTest failed before (tried at once instead of refused) and passes now.

--- a/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
@@ -182,8 +182,7 @@
 
     private fun Record.blamed(otherParts: List<RequestTrait>, nowMillis: Long): Record {
         // What explains all crashes of this trait must have been there at each of them.
-        val wasJoint = jointParts.isNotEmpty()
-        val commonParts = if (wasJoint) jointParts.intersect(otherParts.toSet()).toList() else otherParts
+        val commonParts = if (isBlamed) jointParts.intersect(otherParts.toSet()).toList() else otherParts
         return copy(
             crashes = crashes + 1,
             lastCrashMillis = nowMillis,
--- a/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
@@ -47,6 +47,17 @@
         assertEquals(50, refusal.retryAfterMillis)
     }
 
+    @Test
+    fun `a part that alone explains its first crash is quarantined by a second one, whatever parts are new beside it`() {
+        quarantine.onCrash(listOf(crashing), 0, 100)
+        val later = 100 + UNPROVEN_TRIAL_DELAY_MILLIS
+        quarantine.admit(listOf(RequestTrait.PromptPart("new"), crashing), later)
+        quarantine.onCrash(listOf(RequestTrait.PromptPart("new"), crashing), later, later + 50)
+        quarantine.endTrial(listOf(crashing))
+        assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(crashing), later + QUARANTINE_MILLIS))
+        assertIs<QuarantineDecision.Try>(quarantine.admit(listOf(RequestTrait.PromptPart("new")), later + 51))
+    }
+
     @Test
     fun `requests that were sent before a crash was known do not count as further crashes`() {
         quarantine.onCrash(listOf(crashing), 10, 100)
