Instances try a blamed part one by one, not all at once

Cause: one trial at a time held for one instance only, and all instances count from the same crash.

The instance whose target crashed tries first, and its news renews the refusal at the others. They wait 5 s to 60 s longer, each a random time, in case that instance has gone or gets no such request. Trials that begin at once, of parts that were answered before or are blamed jointly, are not delayed.

--- a/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
@@ -7,9 +7,10 @@
  * are sound, until one of them is blamed again.
  *
  * Blame may be wrong, as a target may crash for another reason in that moment. So a blamed trait is tried again, with one request
- * at a time; if that crashes its target too, requests with the trait are refused for [QUARANTINE_MILLIS]. If several parts of one
- * prompt are to blame, they are told apart by requests with only one of them, and by instances that have seen output of some; a part
- * that two crashes have in common, and no other, is quarantined.
+ * at a time; if that crashes its target too, requests with the trait are refused for [QUARANTINE_MILLIS]. After a long refusal, the
+ * instance whose target crashed tries first, and the others one by one if they hear of no outcome. If several parts of one prompt are
+ * to blame, they are told apart by requests with only one of them, and by instances that have seen output of some; a part that two
+ * crashes have in common, and no other, is quarantined.
  *
  * The load for which it is made: requests that share one part of their prompt and crash every target that answers them come at any
  * instance several times a second, among sound requests that share their organisation and all their other parts.
@@ -17,6 +18,7 @@
 package io.jaybeam.core.quarantine
 
 import kotlinx.serialization.Serializable
+import kotlin.random.Random
 
 /** Time for which requests with a trait are refused after its trial has crashed a target, in milliseconds. */
 public const val QUARANTINE_MILLIS: Long = 600_000L
@@ -30,6 +32,10 @@
 // Time before the trial of a request with several blamed parts; doubles with each crash.
 private const val JOINT_TRIAL_DELAY_MILLIS = 10_000L
 
+// Time by which an instance that was told of a crash tries later than the one whose target crashed, which tells it the outcome.
+private const val MIN_TURN_DELAY_MILLIS = 5_000L
+private const val MAX_TURN_DELAY_MILLIS = 60_000L
+
 // Time in which a trial has usually ended.
 private const val TRIAL_RETRY_AFTER_MILLIS = 1_000L
 private const val MAX_DELAY_DOUBLINGS = 6
@@ -79,9 +85,13 @@
     val refuted: List<RequestTrait>,
 )
 
-/** Keeps what is known of up to [capacity] traits. Thread-safe; times are monotonic milliseconds. */
+/**
+ * Keeps what is known of up to [capacity] traits. Thread-safe; times are monotonic milliseconds. [random] decides in which order
+ * instances try a trait.
+ */
 public class CrashQuarantine(
     private val capacity: Int,
+    private val random: Random = Random.Default,
 ) {
     private data class Record(
         val hasOutput: Boolean = false,
@@ -91,6 +101,7 @@
         val isQuarantined: Boolean = false,
         val jointParts: List<RequestTrait> = emptyList(),
         val isOnTrial: Boolean = false,
+        val turnDelayMillis: Long = 0,
     ) {
         val isBlamed: Boolean get() = crashes > 0
         val isProven: Boolean get() = hasOutput && !isBlamed
@@ -139,9 +150,9 @@
     private fun trialDelayMillis(trait: RequestTrait, record: Record, isJoint: Boolean): Long {
         val isAloneToBlame = record.jointParts.none { recordByTrait[it]?.isBlamed == true }
         return when {
-            record.isQuarantined -> QUARANTINE_MILLIS
+            record.isQuarantined -> QUARANTINE_MILLIS + record.turnDelayMillis
             isJoint -> JOINT_TRIAL_DELAY_MILLIS shl minOf(record.crashes - 1, MAX_DELAY_DOUBLINGS)
-            trait is RequestTrait.PromptPart && isAloneToBlame && !record.hasOutput -> UNPROVEN_TRIAL_DELAY_MILLIS
+            trait is RequestTrait.PromptPart && isAloneToBlame && !record.hasOutput -> UNPROVEN_TRIAL_DELAY_MILLIS + record.turnDelayMillis
             else -> 0
         }
     }
@@ -188,6 +199,7 @@
             lastCrashMillis = nowMillis,
             isQuarantined = isBlamed && commonParts.isEmpty(),
             jointParts = commonParts,
+            turnDelayMillis = 0,
         )
     }
 
@@ -210,6 +222,7 @@
                     lastCrashMillis = nowMillis - other.lastCrashAgeMillis,
                     isQuarantined = other.isQuarantined,
                     jointParts = other.jointParts,
+                    turnDelayMillis = random.nextLong(MIN_TURN_DELAY_MILLIS, MAX_TURN_DELAY_MILLIS),
                 )
             }
         }
