--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CallOutcome.kt
@@ -0,0 +1,57 @@
+/*
+ * How a call ended, and what the log records of it.
+ */
+package io.jaybeam.entry.direct
+
+import io.jaybeam.entry.answer.AnswerFraming
+
+/** Outcome of a call. */
+internal sealed class CallOutcome {
+    /** The target's complete answer was relayed. */
+    data class Answered(
+        val status: Int,
+    ) : CallOutcome()
+
+    /** The entry answered the request itself. [retryAfterMillis] is null if the default of [refusal] applies. */
+    data class Refused(
+        val refusal: Refusal,
+        val detail: String,
+        val retryAfterMillis: Long? = null,
+    ) : CallOutcome()
+
+    /** The answer was interrupted after its head had been sent. */
+    data class BrokenOff(
+        val detail: String,
+    ) : CallOutcome()
+
+    /** The caller closed its connection. */
+    data object CallerGone : CallOutcome()
+}
+
+/**
+ * The answer of a target whose head was relayed, for the log.
+ *
+ * @property targetFraming how the target marks the end of the answer.
+ * @property callerFraming how its end is marked for the caller.
+ */
+internal data class RelayedAnswer(
+    val target: String,
+    val targetFraming: AnswerFraming,
+    val callerFraming: AnswerFraming,
+)
+
+/** The outcome of a call, and the answer that was relayed, or null if the entry answered by itself. */
+internal data class CallRecord(
+    val outcome: CallOutcome,
+    val relayed: RelayedAnswer? = null,
+)
+
+/** Details of sending a call to one target, for the log. */
+internal data class SendRecord(
+    val target: String,
+    val load: Int,
+    val targetsAgeMillis: Long,
+    val detail: String,
+    val hasEvents: Boolean = false,
+    val failedTargetId: String? = null,
+)
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -22,57 +22,6 @@
 import java.io.IOException
 import kotlin.random.Random
 
-/** Outcome of a call. */
-internal sealed class CallOutcome {
-    /** The target's complete answer was relayed. */
-    data class Answered(
-        val status: Int,
-    ) : CallOutcome()
-
-    /** The entry answered the request itself. [retryAfterMillis] is null if the default of [refusal] applies. */
-    data class Refused(
-        val refusal: Refusal,
-        val detail: String,
-        val retryAfterMillis: Long? = null,
-    ) : CallOutcome()
-
-    /** The answer was interrupted after its head had been sent. */
-    data class BrokenOff(
-        val detail: String,
-    ) : CallOutcome()
-
-    /** The caller closed its connection. */
-    data object CallerGone : CallOutcome()
-}
-
-/**
- * The answer of a target whose head was relayed, for the log.
- *
- * @property targetFraming how the target marks the end of the answer.
- * @property callerFraming how its end is marked for the caller.
- */
-internal data class RelayedAnswer(
-    val target: String,
-    val targetFraming: AnswerFraming,
-    val callerFraming: AnswerFraming,
-)
-
-/** The outcome of a call, and the answer that was relayed, or null if the entry answered by itself. */
-internal data class CallRecord(
-    val outcome: CallOutcome,
-    val relayed: RelayedAnswer? = null,
-)
-
-/** Details of sending a call to one target, for the log. */
-internal data class SendRecord(
-    val target: String,
-    val load: Int,
-    val targetsAgeMillis: Long,
-    val detail: String,
-    val hasEvents: Boolean = false,
-    val failedTargetId: String? = null,
-)
-
 /** A short answer that was read completely before it is relayed. */
 private class BufferedAnswer(
     val status: Int,
@@ -278,8 +227,8 @@
         private fun relay(target: FleetTarget, outcome: SendOutcome.Answered): CallOutcome? =
             outcome.response.use { received ->
                 try {
-                    relayed = RelayedAnswer(target.id, targetFramingOf(received), response.framing)
-                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK && mayBeEventStream(received)) {
+                    relayed = RelayedAnswer(target.id, received.framing, response.framing)
+                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK && received.mayBeEventStream) {
                         relayStream(received)
                     } else {
                         relayAnswer(received)
@@ -362,21 +311,9 @@
         /** Whether the target may have had no events left. If it crashed after the head, its connection ends the answer. */
         private fun mayBeEmpty(received: Response): Boolean {
             val isResumed = splitter.hasEvents || call.caller.lastEventId != null
-            return isResumed && targetFramingOf(received) != AnswerFraming.CONNECTION
+            return isResumed && received.framing != AnswerFraming.CONNECTION
         }
 
-        private fun mayBeEventStream(received: Response): Boolean {
-            val contentType = received.body.contentType() ?: return true
-            return contentType.type == "text" && contentType.subtype == "event-stream"
-        }
-
-        private fun targetFramingOf(received: Response): AnswerFraming =
-            when {
-                received.header("Content-Length") != null -> AnswerFraming.LENGTH
-                received.header("Transfer-Encoding") != null -> AnswerFraming.CHUNKS
-                else -> AnswerFraming.CONNECTION
-            }
-
         private fun recordEvent() {
             recordOutput()
             val now = System.nanoTime()
