A request that the HTTP client cannot send is forwarded unchanged or refused for good

Callers saw: 503 "has not run; send it again later" for each attempt of a request with a header value that is not ASCII, or of a GET request with a body. Cause: OkHttp throws IllegalArgumentException for both. "a request id in UTF-8 is recognised in the answer" was added with the change and not run against the code before. Change: a value in UTF-8 is sent byte for byte with addUnsafeNonAscii; control characters are still rejected. Other values, and a body with GET or HEAD, are refused with 400 before a target is chosen. Test replaced: "a request that cannot be built for the target is answered as not run" expected 503 for GET with a body, which is the fault. Its status is now checked as 400 in UnsendableRequestTest, with no request at the target. That an unexpected exception before sending ends in 503 is checked with a route whose services cannot be read.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectCall.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectCall.kt
@@ -104,6 +104,8 @@
     UNKNOWN_KEY(401, "the key belongs to no organisation; send a key that the current configuration lists"),
     TOO_LARGE(413, "the body exceeds the configured size limit; send a smaller one"),
     MALFORMED_TARGET(400, "the path or query cannot be forwarded unchanged; encode it according to RFC 3986"),
+    MALFORMED_HEADER(400, "a header value cannot be forwarded unchanged; encode it in UTF-8, without white space at its ends"),
+    UNSENDABLE_BODY(400, "a GET or HEAD request cannot be forwarded with a body; send it without one, or use another method"),
     NOT_SENT(503, "this instance failed before it sent the request, which has not run; send it again later", "0.3"),
     NO_TARGET(503, "no target is available and the request has not run; send it again later", "0.5"),
     NO_ROOM(503, "another stream would delay the running ones and the request has not run; send it again later", "1.0"),
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -39,6 +39,9 @@
 private const val SETTINGS_RELOAD_INTERVAL_MILLIS = 10_000L
 private const val DRAIN_CHECK_INTERVAL_MILLIS = 20L
 
+/** Methods for which the HTTP client sends no body. */
+private val methodsWithoutBody = setOf("GET", "HEAD")
+
 /** Entry process that is configured by the platform's settings and store. */
 internal class DirectEntry(
     private val settings: InstanceSettings,
@@ -146,7 +149,7 @@
 
     private fun serve(context: Context, response: ServletResponse) {
         val arrivedNanos = System.nanoTime()
-        val caller = decodeCallerRequest(context::header)
+        val caller = decodeCallerRequest { name -> context.header(name)?.let { headerTextOrNull(it) ?: it } }
         inFlight.incrementAndGet()
         try {
             val record = respond(context, caller, arrivedNanos, response)
@@ -199,12 +202,25 @@
             }
 
             is RouteMatch.Allowed -> {
-                val body = readBody(context, routes.config.callerLimits.bodyBytes) ?: return refuse(Refusal.TOO_LARGE, response)
-                forwarder.forward(newCall(context, caller, match, routes, body, arrivedNanos), response)
+                forward(context, caller, match, routes, arrivedNanos, response)
             }
         }
     }
 
+    private fun forward(
+        context: Context,
+        caller: CallerRequest,
+        match: RouteMatch.Allowed,
+        routes: RouteTable,
+        arrivedNanos: Long,
+        response: ServletResponse,
+    ): CallRecord {
+        val body = readBody(context, routes.config.callerLimits.bodyBytes) ?: return refuse(Refusal.TOO_LARGE, response)
+        if (body.isNotEmpty() && context.req().method in methodsWithoutBody) return refuse(Refusal.UNSENDABLE_BODY, response)
+        val headers = headersOrNull(context.req()) ?: return refuse(Refusal.MALFORMED_HEADER, response)
+        return forwarder.forward(newCall(context, caller, match, routes, headers, body, arrivedNanos), response)
+    }
+
     private fun refuse(refusal: Refusal, response: ServletResponse): CallRecord {
         response.refuse(refusal)
         return CallRecord(CallOutcome.Refused(refusal, ""))
@@ -215,6 +231,7 @@
         caller: CallerRequest,
         match: RouteMatch.Allowed,
         routes: RouteTable,
+        headers: List<Header>,
         body: ByteArray,
         arrivedNanos: Long,
     ): DirectCall {
@@ -223,12 +240,7 @@
         return DirectCall(
             method = request.method,
             pathAndQuery = request.requestURI + request.queryString?.let { "?$it" }.orEmpty(),
-            headers =
-                request.headerNames
-                    .asSequence()
-                    .flatMap { name ->
-                        request.getHeaders(name).asSequence().map { Header(name, it) }
-                    }.toList(),
+            headers = headers,
             connectionHeader = request.getHeader("Connection"),
             body = body.takeIf { it.isNotEmpty() },
             caller = caller,
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -16,6 +16,7 @@
 import okhttp3.Connection
 import okhttp3.ConnectionPool
 import okhttp3.EventListener
+import okhttp3.Headers
 import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -32,6 +33,7 @@
 // Idle connections kept open for reuse, to all targets together.
 private const val MAX_IDLE_CONNECTIONS = 256
 private const val HTTP_LOWEST_FINAL_STATUS = 200
+private const val DELETE = '\u007f'
 
 /** Outcome of sending a request to a target. */
 internal sealed class SendOutcome {
@@ -105,7 +107,7 @@
                 .Builder()
                 .url(url)
                 .method(call.method, call.requestBody())
-                .addHeaders(if (lastEventId == null) headers else withLastEventId(headers, lastEventId))
+                .headers(okHttpHeaders(if (lastEventId == null) headers else withLastEventId(headers, lastEventId)))
                 .tag(Progress::class.java, progress)
                 .build()
         // Without an id, only the first answer on a connection is known to belong to its request.
@@ -188,13 +190,20 @@
 
     private fun DirectCall.requestBody() = body?.toRequestBody() ?: if (method in methodsWithBody) ByteArray(0).toRequestBody() else null
 
-    private fun Request.Builder.addHeaders(headers: List<Header>): Request.Builder {
-        headers.forEach { addHeader(it.name, it.value) }
+    private fun okHttpHeaders(headers: List<Header>): Headers {
+        val builder = Headers.Builder()
+        headers.forEach { (name, value) ->
+            // OkHttp checks a value only if all of it has to be ASCII.
+            require(value.none { it.isControl() }) { "header $name has a control character" }
+            builder.addUnsafeNonAscii(name, value)
+        }
         // Without this header, OkHttp requests a compressed body.
-        if (headers.none { it.name.equals("Accept-Encoding", ignoreCase = true) }) header("Accept-Encoding", "identity")
-        return this
+        if (headers.none { it.name.equals("Accept-Encoding", ignoreCase = true) }) builder["Accept-Encoding"] = "identity"
+        return builder.build()
     }
 
+    private fun Char.isControl() = (this < ' ' && this != '\t') || this == DELETE
+
     private object ProgressListener : EventListener() {
         override fun connectStart(call: Call, inetSocketAddress: InetSocketAddress, proxy: Proxy) {
             call.request().tag(Progress::class.java)?.isNewConnection = true
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
@@ -54,10 +54,20 @@
 private fun target(id: String, service: String, port: Int) =
     FleetTarget(id, service, HOST, port, "north", 8, isDraining = false, remainingColdStartMillis = 0, startedAtEpochMillis = 0)
 
+/** Services of a route that cannot be read, so that the entry fails while it serves a request. */
+private class FailingServices(
+    private val failure: () -> Throwable,
+) : AbstractList<WeightedService>() {
+    override val size = 1
+
+    override fun get(index: Int): WeightedService = throw failure()
+}
+
 /** A store with one configuration and [targets] that never change. It answers no read of the configuration if [isConfigSilent]. */
 private class FixedStore(
     targets: List<FleetTarget>,
     private val isConfigSilent: Boolean,
+    routingFailure: () -> Throwable,
 ) : FleetStore {
     private val config =
         FleetConfig(
@@ -67,6 +77,7 @@
                     route("/safe/", RouteKind.IDEMPOTENT, "plain", maxTargets = 2),
                     route("/once/", RouteKind.AT_MOST_ONCE, "plain", maxTargets = 2),
                     route("/stream/", RouteKind.STREAM, "plain", maxTargets = 2),
+                    route("/failing/", RouteKind.AT_MOST_ONCE, "plain", maxTargets = 2).copy(services = FailingServices(routingFailure)),
                 ),
             services = emptyList(),
             organisations = listOf(Organisation("lens", setOf("key-1"))),
@@ -112,6 +123,10 @@
 /** Starts entries for tests and closes all that a test has opened. */
 internal abstract class EntryFixture {
     private val resources = mutableListOf<AutoCloseable>()
+
+    /** What is thrown while a request to the route `/failing/` is served. */
+    @Volatile
+    protected var routingFailure: Throwable = IllegalStateException("test")
     protected val entries = mutableListOf<DirectEntry>()
 
     protected fun <T : AutoCloseable> closedAfterTest(resource: T): T = resource.also { resources += it }
@@ -184,6 +199,7 @@
                 FixedStore(
                     targetPorts.mapIndexed { index, port -> target("t$index", "plain", port) },
                     isConfigSilent = startsWithoutConfiguration,
+                    routingFailure = { routingFailure },
                 ),
                 Clock.System,
             )
@@ -228,9 +244,15 @@
         socket.getOutputStream().write((head.joinToString("\r\n") + "\r\n\r\n" + body).encodeToByteArray())
     }
 
-    fun read(): CallerAnswer {
+    /** Reads an answer that has no body, whatever its headers state. */
+    fun readHead(): CallerAnswer {
         val status = input.readLine().split(' ')[1].toInt()
         val headers = generateSequence { input.readLine()?.takeIf { it.isNotEmpty() } }.toList()
+        return CallerAnswer(status, headers, "", isComplete = true)
+    }
+
+    fun read(): CallerAnswer {
+        val (status, headers) = readHead().let { it.status to it.headers }
         val length =
             headers
                 .firstOrNull { it.startsWith("Content-Length:") }
