The answer to HEAD has the length that the target states

Callers saw: `Content-Length: 0` for each HEAD request, and a closed connection for HEAD of an event stream. Cause: the length was that of the body received, which HEAD has not, and a stream without an event counts as broken off. Evidence: HeadAnswerTest, 3 of 3 failed before (`Content-Length: 0` twice, no answer on a route for streams) and pass now. Change: the length of an answer to HEAD is the one that the target states, or none; it is never relayed as a stream.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -22,7 +22,7 @@
 import java.io.IOException
 import kotlin.random.Random
 
-/** A short answer that was read completely before it is relayed. */
+/** A short answer that was read completely before it is relayed, with the header that states its length. */
 private class BufferedAnswer(
     val status: Int,
     val headers: List<Header>,
@@ -228,7 +228,7 @@
             outcome.response.use { received ->
                 try {
                     relayed = RelayedAnswer(target.id, received.framing, response.framing)
-                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK && received.mayBeEventStream) {
+                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK && call.method != HEAD && received.mayBeEventStream) {
                         relayStream(received)
                     } else {
                         relayAnswer(received)
@@ -247,11 +247,27 @@
             val isLong = source.request(BUFFERED_ANSWER_LIMIT_BYTES)
             // A target may fail a request before it reads the prompt, which shows nothing of the prompt.
             if (received.code < HTTP_SERVER_ERROR) recordOutput() else hasAttemptOutput = true
-            if (!isLong) return relayShort(BufferedAnswer(received.code, headersOf(received, keepLength = false), source.readByteArray()))
+            if (!isLong) return relayShort(bufferedAnswerOf(received, source.readByteArray()))
             response.sendHead(received.code, headersOf(received, keepLength = true))
             return relayLong(source, received)
         }
 
+        private fun bufferedAnswerOf(received: Response, body: ByteArray): BufferedAnswer {
+            val lengthBytes = if (call.method == HEAD) statedLengthBytesOrNull(received) else body.size.toLong()
+            val lengthHeader = lengthBytes?.let { Header("Content-Length", "$it") }
+            return BufferedAnswer(received.code, headersOf(received, keepLength = false) + listOfNotNull(lengthHeader), body)
+        }
+
+        /** Returns the length that the body of [received] would have if the request were not HEAD; null if that is not stated. */
+        private fun statedLengthBytesOrNull(received: Response): Long? =
+            if (received.header("Transfer-Encoding") !=
+                null
+            ) {
+                null
+            } else {
+                received.header("Content-Length")?.toLongOrNull()?.takeIf { it >= 0 }
+            }
+
         private fun relayShort(answer: BufferedAnswer): CallOutcome? {
             if (answer.status >= HTTP_SERVER_ERROR && call.route.kind == RouteKind.IDEMPOTENT && failedAnswer == null) {
                 failedAnswer = answer
@@ -263,7 +279,7 @@
 
         private fun sendBuffered(answer: BufferedAnswer): CallOutcome =
             writeToCaller(answer.status) {
-                response.sendHead(answer.status, answer.headers + Header("Content-Length", "${answer.body.size}"))
+                response.sendHead(answer.status, answer.headers)
                 if (answer.body.isNotEmpty()) response.write(answer.body, answer.body.size)
             }
 
@@ -369,6 +385,7 @@
 // Spreads the retries of callers. The total delay stays below a third of a deadline of 8 s, the longest that callers wait
 // before a retry.
 private const val RETRY_JITTER_MILLIS = 500L
+private const val HEAD = "HEAD"
 private const val HTTP_OK = 200
 private const val HTTP_SERVER_ERROR = 500
 private const val CHUNK_BYTES = 8_192
