An age of targets out of range does not move the last read into the future

Callers saw: nothing at once; the entry read no targets until the time to which a peer had moved its last read. Cause: the age in a peer's news was subtracted without a check; a negative one adds, a very large one overflows. Evidence: FleetCacheTest "the age that a peer states never moves the last read into the future" failed before (-1 ms: read at 901 ms of 900 ms) and passes now, for negative ages and for ones that overflow.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
@@ -21,6 +21,9 @@
 
 private const val MAX_LOGGED_ID_CHARS = 80
 
+// Such an old read says nothing of use about the targets. The limit keeps the time of the read within its range.
+private const val MAX_PEER_AGE_MILLIS = 86_400_000L
+
 /** Holds the latest [FleetSnapshot] of one entry. Thread-safe. */
 internal class FleetCache(
     private val events: EventLog,
@@ -78,11 +81,13 @@
 
     /**
      * Returns the request for what a peer has according to [news] and this entry lacks; null if there is nothing. If both have
-     * the same position of the targets' log, the peer's time of reading counts for this entry too.
+     * the same position of the targets' log, the peer's time of reading counts for this entry too, unless the stated age is
+     * negative or longer than [MAX_PEER_AGE_MILLIS].
      */
     fun requestFor(news: Frame.FleetNews): Frame.FleetRequest? =
         synchronized(this) {
-            if (news.targetsPosition == snapshot.targetsPosition && news.targetsPosition != UNREAD) {
+            val isSamePosition = news.targetsPosition == snapshot.targetsPosition && news.targetsPosition != UNREAD
+            if (isSamePosition && news.targetsAgeMillis in 0..MAX_PEER_AGE_MILLIS) {
                 val readAtNanos = nanoTime() - news.targetsAgeMillis * NANOS_PER_MILLI
                 snapshot = snapshot.copy(targetsReadAtNanos = maxOf(snapshot.targetsReadAtNanos, readAtNanos))
             }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
@@ -59,6 +59,17 @@
         assertEquals(800 * NANOS_PER_MILLI, cache.snapshot.targetsReadAtNanos)
     }
 
+    @Test
+    fun `the age that a peer states never moves the last read into the future`() {
+        // Entries wait until the last read is old enough, so they would read no targets until then.
+        cache.onTargetsPage(UNREAD, announced(position = 12, "a"))
+        nowNanos = 900 * NANOS_PER_MILLI
+        listOf(-1, -60_000, Long.MIN_VALUE, Long.MAX_VALUE, Long.MAX_VALUE / NANOS_PER_MILLI + 1).forEach { ageMillis ->
+            cache.requestFor(Frame.FleetNews(UNREAD, UNREAD, 12, ageMillis))
+            assertEquals(0, cache.snapshot.targetsReadAtNanos, "$ageMillis ms")
+        }
+    }
+
     @Test
     fun `a read of all targets replaces the previous targets`() {
         cache.onTargetsPage(UNREAD, announced(position = 12, "a", "b"))
