--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -228,7 +228,9 @@
             outcome.response.use { received ->
                 try {
                     relayed = RelayedAnswer(target.id, received.framing, response.framing)
-                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK && call.method != HEAD && received.mayBeEventStream) {
+                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK && call.method != HEAD &&
+                        received.mayBeEventStream
+                    ) {
                         relayStream(received)
                     } else {
                         relayAnswer(received)
