--- a/wire/src/test/kotlin/io/jaybeam/wire/LinkTest.kt
+++ b/wire/src/test/kotlin/io/jaybeam/wire/LinkTest.kt
@@ -1,5 +1,6 @@
 package io.jaybeam.wire
 
+import org.junit.jupiter.api.Tag
 import java.io.DataOutputStream
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
@@ -61,6 +62,43 @@
         }
     }
 
+    @Tag("known-red")
+    @Test
+    fun `a failure while a link is accepted leaves others to be accepted`() {
+        LinkRuntime().use { runtime ->
+            val serverHandler = RecordingHandler()
+            val failures = listOf(IllegalStateException("test"), StackOverflowError("test")).iterator()
+            val port = runtime.listen("127.0.0.1", 0) { if (failures.hasNext()) throw failures.next() else serverHandler }
+            repeat(2) { Socket("127.0.0.1", port).use { assertEquals(-1, it.also { it.soTimeout = 2_000 }.getInputStream().read()) } }
+            val links = LinkedBlockingQueue<Link>()
+            runtime.connect("127.0.0.1", port, RecordingHandler(), { links += it }, { error(it) })
+            assertTrue(links.awaitNext().send(Frame.Heartbeat(7)))
+            assertEquals(Frame.Heartbeat(7), serverHandler.frames.awaitNext())
+        }
+    }
+
+    @Tag("known-red")
+    @Test
+    fun `an error while a frame is handled closes its link`() {
+        LinkRuntime().use { runtime ->
+            val closeReasons = LinkedBlockingQueue<String>()
+            val port =
+                runtime.listen("127.0.0.1", 0) {
+                    object : LinkHandler {
+                        override fun onFrame(link: Link, frame: Frame): Unit = throw StackOverflowError("test")
+
+                        override fun onClosed(link: Link, reason: String) {
+                            closeReasons += reason
+                        }
+                    }
+                }
+            val links = LinkedBlockingQueue<Link>()
+            runtime.connect("127.0.0.1", port, RecordingHandler(), { links += it }, { error(it) })
+            links.awaitNext().send(Frame.Heartbeat(7))
+            assertTrue("StackOverflowError" in closeReasons.awaitNext())
+        }
+    }
+
     @Test
     fun `an idle link is closed`() {
         LinkRuntime(LinkTiming(idleCheckMillis = 20, idleTimeoutMillis = 100)).use { runtime ->
