--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -228,13 +228,7 @@
             outcome.response.use { received ->
                 try {
                     relayed = RelayedAnswer(target.id, received.framing, response.framing)
-                    if (call.route.kind == RouteKind.STREAM && received.code == HTTP_OK && call.method != HEAD &&
-                        received.mayBeEventStream
-                    ) {
-                        relayStream(received)
-                    } else {
-                        relayAnswer(received)
-                    }
+                    if (isStream(received)) relayStream(received) else relayAnswer(received)
                 } catch (e: IOException) {
                     outcome.call.cancel()
                     recordMayHaveRun("answer broke off: ${e.javaClass.simpleName}: ${e.message}")
@@ -242,6 +236,11 @@
                 }
             }
 
+        private fun isStream(received: Response): Boolean {
+            val isStreamRequested = call.route.kind == RouteKind.STREAM && call.method != HEAD
+            return isStreamRequested && received.code == HTTP_OK && received.mayBeEventStream
+        }
+
         private fun relayAnswer(received: Response): CallOutcome? {
             if (response.isCommitted) throw IOException("answer ${received.code} does not continue the stream")
             val source = received.body.source()
