A target that accepts a connection as it ends is recognised as crashed

Callers saw: two targets crashed by one request, and the next request with the part sent as well. Cause: a process that ends closes its port a moment after its connections; the probe came in between and was accepted. The new test of CrashGuardTest failed before and passes now. Change: a probe that is accepted is repeated after 20 ms.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
@@ -26,6 +26,9 @@
 
 // A target on the same network accepts or refuses a connection within a few ms.
 internal const val PROBE_TIMEOUT_MILLIS = 300
+
+// A process that ends may accept a connection for a moment after its others have ended.
+private const val PROBE_REPEAT_MILLIS = 20L
 private const val MAX_TRAITS_PER_FRAME = 256
 
 /** What a target had sent when it ended an attempt. */
@@ -39,24 +42,36 @@
 
 /** Checks whether a target accepts connections. */
 internal fun interface TargetProbe {
-    /** Whether [target] refuses connections because no process listens at its address; blocks for 300 ms at most. */
+    /** Whether [target] refuses connections because no process listens at its address; blocks for the time of two attempts at most. */
     fun isRefusing(target: FleetTarget): Boolean
 }
 
-/** Opens a connection to the target and closes it again. */
+/** Opens a connection to the target and closes it again; a second time if it was accepted, as a process closes its port last. */
 internal val connectionProbe =
     TargetProbe { target ->
-        try {
-            Socket().use { it.connect(InetSocketAddress(target.host, target.port), PROBE_TIMEOUT_MILLIS) }
-            false
-        } catch (e: ConnectException) {
-            true
-        } catch (e: IOException) {
-            // A timeout or an unreachable network does not show that the process has ended.
-            false
+        when (connectTo(target)) {
+            ConnectResult.REFUSED -> true
+            ConnectResult.UNREACHABLE -> false
+            ConnectResult.ACCEPTED -> {
+                Thread.sleep(PROBE_REPEAT_MILLIS)
+                connectTo(target) == ConnectResult.REFUSED
+            }
         }
     }
 
+private enum class ConnectResult { ACCEPTED, REFUSED, UNREACHABLE }
+
+private fun connectTo(target: FleetTarget): ConnectResult =
+    try {
+        Socket().use { it.connect(InetSocketAddress(target.host, target.port), PROBE_TIMEOUT_MILLIS) }
+        ConnectResult.ACCEPTED
+    } catch (e: ConnectException) {
+        ConnectResult.REFUSED
+    } catch (e: IOException) {
+        // A timeout or an unreachable network does not show that the process has ended.
+        ConnectResult.UNREACHABLE
+    }
+
 /** Crash quarantine of one entry. Thread-safe. */
 internal class CrashGuard(
     private val events: EventLog,
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashGuardTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashGuardTest.kt
@@ -10,6 +10,8 @@
 import io.jaybeam.platform.CallerRequest
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.wire.Frame
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.util.PriorityQueue
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -143,4 +145,18 @@
             assertEquals(60, mesh.guards.count { it.refusalOf(call("shared", "crashing")) != null }, "seed $seed")
         }
     }
+
+    // The port of a target that ended was still open when the probe came, and the crash was not counted.
+    @Test
+    fun `a target that accepts a connection as it ends has crashed`() {
+        val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
+        val ending =
+            thread {
+                server.accept().close()
+                server.close()
+            }
+        val target = FleetTarget("t", "pool", "127.0.0.1", server.localPort, "north", 8, false, 0, 0)
+        assertTrue(connectionProbe.isRefusing(target))
+        ending.join()
+    }
 }
