--- a/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
+++ b/scenarios/src/main/kotlin/io/jaybeam/scenarios/Fleet.kt
@@ -17,15 +17,11 @@
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import java.io.IOException
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import java.security.KeyPairGenerator
 import java.util.Base64
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
-import kotlin.random.Random
 
 private const val HOST = "127.0.0.1"
 private const val ENTRY_MAIN = "io.jaybeam.entry.MainKt"
@@ -119,8 +115,17 @@
     /** URLs of the instance list stand-ins. */
     public val listUrls: List<String> get() = listPortByDataCentre.values.map { "http://$HOST:$it" }
 
-    /** Starts the complete site and waits until every entry and side is ready. */
+    /** Starts the complete site and waits until every entry and side is ready. Ends what it has started if that fails. */
     public fun start() {
+        try {
+            startProcesses()
+        } catch (e: Exception) {
+            close()
+            throw e
+        }
+    }
+
+    private fun startProcesses() {
         progress("starting ${entries.size} entries and ${targets.size} targets with their sides")
         startPlatformStandIns()
         appendChange(ConfigChange.PutBundle("first", NO_VERSION, "desk", plan.bundleText()))
@@ -364,19 +369,3 @@
 }
 
 private const val OUTPUT_TAIL_CHARACTERS = 600
-private const val BACKLOG = 1
-private const val MIN_PORT = 20_000
-private const val PORT_COUNT = 12_000
-private val nextPort = AtomicInteger(Random.nextInt(PORT_COUNT))
-
-/** Returns a free port below the range from which the operating system assigns ports to outgoing connections. */
-internal fun freePort(): Int {
-    while (true) {
-        val port = MIN_PORT + nextPort.getAndIncrement() % PORT_COUNT
-        try {
-            ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress()).use { return port }
-        } catch (e: IOException) {
-            continue
-        }
-    }
-}
--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/SiteSteps.kt
@@ -24,7 +24,9 @@
 
     fun start(plan: FleetPlan) {
         stop()
-        current = Fleet(plan).also { it.start() }
+        val fleet = Fleet(plan)
+        current = fleet
+        fleet.start()
     }
 
     fun stop() {
