A coordinator that was frozen until it was replaced gives no orders to ranks that check no fencing tokens

What could happen: a coordinator frozen for some seconds wakes, all sides look silent to it, and it sends its orders to the ranks directly, with its old token. Ranks that check tokens refuse them; where the deployment does not require that, they carry them out beside those of the new coordinator. A side also forgot its link to the new coordinator if the one to the old closed late (found by reading). Change: without fencing, ranks are called directly only within a lease that counts from before the join that renewed it, on the monotonic clock and the time of day; it is checked again when a queued order is sent. Sides refuse orders below the highest token that they have passed on. Closing an older link leaves a newer one.

--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
@@ -7,6 +7,7 @@
 import io.jaybeam.core.fleet.FleetStore
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.StoreFault
+import io.jaybeam.core.rankgroup.Lease
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
@@ -16,6 +17,8 @@
 import io.jaybeam.wire.LinkHandler
 import io.jaybeam.wire.LinkRuntime
 import kotlin.concurrent.thread
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
 
 // A coordinator that stops joining is replaced after this time. It is the shortest that the platform accepts, because a
 // frozen coordinator may leave the group with a held pass. A candidate joins three times within it.
@@ -33,6 +36,9 @@
 private const val FIRST_SEARCH_DELAY_MILLIS = 100L
 private const val TOPIC_PREFIX = "expert-map-"
 
+/** Returns the lease of the group's coordinator, within which the store names no other one. */
+internal fun newCoordinatorLease(clock: Clock): Lease = Lease(CANDIDACY_LIFETIME_MILLIS.milliseconds, clock)
+
 /** Takes part in the election of the coordinator, on its own thread. */
 internal class CoordinatorElection(
     private val address: HostPort,
@@ -40,6 +46,7 @@
     private val links: LinkRuntime,
     private val rankAgent: RankAgent,
     private val coordinator: CoordinatorWorker,
+    private val lease: Lease,
     private val events: EventLog,
 ) : AutoCloseable {
     private var generation = 0L
@@ -88,6 +95,7 @@
     }
 
     private fun joinAndConnect(topic: String) {
+        val leaseStart = lease.now()
         store.joinCandidates(topic, address, generation, CANDIDACY_LIFETIME_MILLIS).fold(
             ::onStoreFault,
             { term ->
@@ -103,6 +111,7 @@
                 if (hasGenerationChanged) closeLinkIfSilent()
                 isCoordinator = term.isCoordinator
                 generation = term.generation
+                if (isCoordinator) lease.renew(leaseStart) else lease.end()
                 coordinator.setTerm(CoordinatorMessage.Term(term.generation.takeIf { term.isCoordinator }))
             },
         )
@@ -165,7 +174,7 @@
 
         override fun onClosed(link: Link, reason: String) {
             events.write(LogEvent.LINK_CLOSED, LogField("peer", "coordinator"), LogField("reason", reason))
-            rankAgent.offer(RankAgentMessage.CoordinatorLink(null))
+            rankAgent.offer(RankAgentMessage.CoordinatorLinkClosed(link))
         }
     }
 }
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
@@ -1,6 +1,10 @@
 /*
  * Coordinates the expert map of a rank group: collects the ranks' reports, plans a better map when demand has shifted, and
  * sends the orders by which the ranks switch to it. It does so only during its term, with fencing tokens of that term.
+ *
+ * A coordinator that was frozen may not know yet that it was replaced, and to it all sides look silent. Where ranks do not check
+ * fencing tokens, it therefore calls ranks directly only while its lease is valid. Orders through sides need no lease: a side
+ * checks the tokens itself, and follows one coordinator at a time.
  */
 package io.jaybeam.side.rank
 
@@ -111,6 +115,7 @@
     private val localGroup: () -> String?,
     rankPortAt: (HostPort) -> RankPort,
     linkTotals: () -> LinkTotals,
+    private val isLeaseValid: () -> Boolean,
     private val events: EventLog,
     private val nowMillis: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
 ) : AutoCloseable {
@@ -121,7 +126,7 @@
     private val sentMaps = SentMaps()
     private val mapBudget = SendBudget(nowMillis)
     private val sentAtMillis = HashMap<SentOrder, Long>()
-    private val remoteRanks = RemoteRankClient(store, settings.targetService, rankPortAt, events) { offer(it) }
+    private val remoteRanks = RemoteRankClient(store, settings.targetService, rankPortAt, ::mayCallRanks, events) { offer(it) }
     private val load = CoordinatorLoad(linkTotals, events)
     private var generation: Long? = null
     private var deposedGeneration = 0L
@@ -346,7 +351,8 @@
         val peer = peers[order.rank] ?: return
         // The instance that sends a hold may freeze while the pass is held. The hold is sent from here instead of through the
         // side of the rank that holds the pass, so that this instance is at risk and not that rank's.
-        val key = SentOrder(order, isRemote = (order is FencedOrder.Hold && !isHoldOutcomeUnknown) || isSilent(peer))
+        val isDirectPreferred = (order is FencedOrder.Hold && !isHoldOutcomeUnknown) || isSilent(peer)
+        val key = SentOrder(order, isRemote = isDirectPreferred && mayCallRanks())
         val lastSentAtMillis = sentAtMillis[key]
         if (lastSentAtMillis != null && nowMillis() - lastSentAtMillis < RESEND_INTERVAL_MILLIS) return
         // Sent with one of the next calls, as the order stays due.
@@ -362,6 +368,8 @@
         }
     }
 
+    private fun mayCallRanks() = settings.limits.isFencingRequired || isLeaseValid()
+
     private fun sendThroughSide(peer: RankPeer, order: FencedOrder, map: GroupMap?) {
         val link = peer.link ?: return
         val isWithMap = order is FencedOrder.Prepare && map != null
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RankAgent.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RankAgent.kt
@@ -28,9 +28,14 @@
 
 /** Message to a [RankAgent]. */
 internal sealed class RankAgentMessage {
-    /** The [link] to the coordinator, or null if it is closed. */
+    /** The [link] to the coordinator, which replaces any earlier one. */
     data class CoordinatorLink(
-        val link: Link?,
+        val link: Link,
+    ) : RankAgentMessage()
+
+    /** [link] to a coordinator was closed, possibly after a newer one was opened. */
+    data class CoordinatorLinkClosed(
+        val link: Link,
     ) : RankAgentMessage()
 
     /** An order that the coordinator sent over [link]. */
@@ -67,6 +72,9 @@
     private var groupSize = 1
     private var isUnreadable = false
 
+    /** Highest fencing token of the orders that were passed on to the rank. */
+    private var highestFence = 0L
+
     /** Name of the rank's group; null until the rank has been read. */
     @Volatile
     var groupName: String? = null
@@ -93,14 +101,26 @@
                 nextReportAtNanos = nanoTime()
             }
 
+            is RankAgentMessage.CoordinatorLinkClosed -> {
+                if (link === message.link) link = null
+            }
+
             is RankAgentMessage.Order -> {
-                executeOrder(message)
+                if (message.frame.order.fence < highestFence) refuse(message) else executeOrder(message)
             }
         }
     }
 
+    /** Refuses an order of a coordinator that was replaced, which a rank that does not check fencing tokens would carry out. */
+    private fun refuse(message: RankAgentMessage.Order) {
+        val order = message.frame.order
+        message.link.send(Frame.RankReply(order, OrderOutcome.FENCED, reading = null))
+        events.write(LogEvent.RANK_ORDER, LogField("order", "$order"), LogField("outcome", "${OrderOutcome.FENCED} by the side"))
+    }
+
     private fun executeOrder(message: RankAgentMessage.Order) {
         val order = message.frame.order
+        highestFence = order.fence
         val map = if (order is FencedOrder.Prepare) mapOfOrNull(message) ?: return else null
         if (map != null) receivedMap = ReceivedMap(message.link, map)
         val outcome = rank.sendOrder(order, map)
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RankSideProcess.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RankSideProcess.kt
@@ -14,6 +14,7 @@
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
 import io.jaybeam.runtime.settings.ServingProcess
+import io.jaybeam.runtime.writeUnexpectedFailure
 import io.jaybeam.wire.LinkRuntime
 import kotlin.time.Clock
 
@@ -32,11 +33,21 @@
     rankPortAt: (HostPort) -> RankPort,
 ) : ServingProcess {
     private val events = EventLog(settings.instance, clock)
-    private val links = LinkRuntime()
+    private val links = LinkRuntime(onAcceptFailure = { events.writeUnexpectedFailure("accept links", it) })
+    private val lease = newCoordinatorLease(clock)
     private val rankAgent = RankAgent(rank, checkNotNull(settings.targetAddress), events)
     private val coordinatorWorker =
-        CoordinatorWorker(store, settings, { rankAgent.rankNumber }, { rankAgent.groupName }, rankPortAt, links.traffic::totals, events)
-    private val election = CoordinatorElection(settings.peerAddress, store, links, rankAgent, coordinatorWorker, events)
+        CoordinatorWorker(
+            store,
+            settings,
+            { rankAgent.rankNumber },
+            { rankAgent.groupName },
+            rankPortAt,
+            links.traffic::totals,
+            { lease.isValid },
+            events,
+        )
+    private val election = CoordinatorElection(settings.peerAddress, store, links, rankAgent, coordinatorWorker, lease, events)
 
     override fun start() {
         events.write(LogEvent.PROCESS_STARTED, LogField("dataCentre", settings.dataCentre), LogField("target", "${settings.targetAddress}"))
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RemoteRankClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RemoteRankClient.kt
@@ -54,6 +54,7 @@
     private val store: FleetStore,
     private val service: String?,
     private val rankPortAt: (HostPort) -> RankPort,
+    private val maySendOrders: () -> Boolean,
     private val events: EventLog,
     private val onResult: (CoordinatorMessage) -> Unit,
 ) : AutoCloseable {
@@ -110,16 +111,12 @@
     }
 
     private fun executeOrder(call: RemoteCall.SendOrder) {
+        // The process may have been frozen since the order was queued.
+        if (!maySendOrders()) return logOrder(call, "LEASE_ENDED", tookMillis = 0)
         val sentAtNanos = System.nanoTime()
         val outcome = cachedPort(call.address).sendOrder(call.order, call.map)
         val tookMillis = (System.nanoTime() - sentAtNanos) / NANOS_PER_MILLI
-        events.write(
-            LogEvent.RANK_ORDER,
-            LogField("address", "${call.address}"),
-            LogField("order", "${call.order}"),
-            LogField("outcome", outcome.name),
-            LogField("tookMillis", "$tookMillis"),
-        )
+        logOrder(call, outcome.name, tookMillis)
         // Acceptance is reported immediately. The state of the rank after the order is reported later, once it can be read.
         if (outcome == OrderOutcome.ACCEPTED) onResult(CoordinatorMessage.Reply(Frame.RankReply(call.order, outcome, null)))
         if (call.order is FencedOrder.Hold && outcome == OrderOutcome.ACCEPTED) return
@@ -127,6 +124,15 @@
         unreadOrders += UnreadOrder(call, outcome, readAtNanos)
     }
 
+    private fun logOrder(call: RemoteCall.SendOrder, outcome: String, tookMillis: Long) =
+        events.write(
+            LogEvent.RANK_ORDER,
+            LogField("address", "${call.address}"),
+            LogField("order", "${call.order}"),
+            LogField("outcome", outcome),
+            LogField("tookMillis", "$tookMillis"),
+        )
+
     private fun readRanksAfterOrders() {
         while (unreadOrders.isNotEmpty() && System.nanoTime() >= unreadOrders.first().readAtNanos) {
             val unread = unreadOrders.removeFirst()
--- a/side/src/test/kotlin/io/jaybeam/side/rank/EmulatedGroup.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/EmulatedGroup.kt
@@ -215,22 +215,28 @@
     private val group: EmulatedGroup,
     private val shape: EmulatedGroupShape,
     failingStoreReads: Int = 0,
+    isFencingRequired: Boolean = true,
+    private val isLeaseValid: () -> Boolean = { true },
 ) : AutoCloseable {
     private val events = EventLog("emulated", Clock.System)
 
     /** What the coordinator receives and sends. */
     val toCoordinator = LimitedLine(shape.linkBytesPerSecond)
     val fromCoordinator = LimitedLine(shape.linkBytesPerSecond)
+
+    /** The orders that the coordinator sent to ranks directly. */
+    val directOrders = CopyOnWriteArrayList<FencedOrder>()
     private val linkEnds = HashMap<RankAgent, LinkEnd>()
     private val agents = group.ranks.map { RankAgent(it, it.address, events) }
     private val coordinator =
         CoordinatorWorker(
             OperatorStore(SERVICE, shape.engineModel(), failingStoreReads),
-            rankSettings(SERVICE, group.ranks.first().address),
+            rankSettings(SERVICE, group.ranks.first().address, isFencingRequired),
             { 0 },
             { GROUP_NAME },
             { address -> RemoteRank(group.ranks[address.port - FIRST_RANK_PORT]) },
             { LinkTotals(0, toCoordinator.totalBytes, 0, fromCoordinator.totalBytes) },
+            { isLeaseValid() },
             events,
         )
 
@@ -280,7 +286,10 @@
     ) : RankPort by rank {
         override fun status() = call { rank.status() } ?: RankFault("no answer in $CALL_TIMEOUT_MILLIS ms").left()
 
-        override fun sendOrder(order: FencedOrder, map: GroupMap?) = call { rank.sendOrder(order, map) } ?: OrderOutcome.UNKNOWN
+        override fun sendOrder(order: FencedOrder, map: GroupMap?): OrderOutcome {
+            directOrders += order
+            return call { rank.sendOrder(order, map) } ?: OrderOutcome.UNKNOWN
+        }
 
         private fun <T> call(action: () -> T): T? {
             val answer = CompletableFuture<T>()
--- a/side/src/test/kotlin/io/jaybeam/side/rank/RankTestSettings.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/RankTestSettings.kt
@@ -56,8 +56,8 @@
 }
 
 /** Returns the settings of the side beside the rank at [target], which belongs to [service]. */
-internal fun rankSettings(service: String, target: HostPort): InstanceSettings {
-    val limits = FleetLimits(shutdownGraceMillis = 0, retryPercent = 0, retrySlack = 0, retryWindowMillis = 1, isFencingRequired = true)
+internal fun rankSettings(service: String, target: HostPort, isFencingRequired: Boolean = true): InstanceSettings {
+    val limits = FleetLimits(shutdownGraceMillis = 0, retryPercent = 0, retrySlack = 0, retryWindowMillis = 1, isFencingRequired)
     val address = HostPort(HOST, target.port + 1_000)
     return InstanceSettings("side-${target.port}", "north", HOST, null, null, address, emptyList(), target, service, address, limits)
 }
