A target that states that it leaves or pauses gets no request until it is another incarnation or the pause ends

Cause: an entry learned only from the store that a target leaves, up to 0.8 s late, never while the store is away, and it ignored the Retry-After of a target's 503: least loaded means that such a target is preferred. Change: TargetNotices (core) records both from every answer, by incarnation, on the monotonic clock. Attempts, retries, resumed streams and trials pass by it, once more just before the request is written. If all targets of a service leave or pause, a request is refused at once, with the earliest end of a pause, spread over callers, instead of 0.3 or 0.5 s. Entries tell each other of leaving targets, which only makes them read the store soon. Unreadable, negative, dated and huge values have a stated reading and a log line.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -4,12 +4,12 @@
 package io.jaybeam.entry.direct
 
 import io.javalin.http.Context
-import io.jaybeam.core.fleet.ColdStartRateLimiter
 import io.jaybeam.core.fleet.FleetStore
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.InstanceSettings
 import io.jaybeam.core.fleet.RouteMatch
 import io.jaybeam.core.fleet.RouteTable
+import io.jaybeam.core.fleet.TargetNotices
 import io.jaybeam.core.fleet.selectService
 import io.jaybeam.core.routing.RetryBudget
 import io.jaybeam.platform.CallerRequest
@@ -56,8 +56,10 @@
     private val cache = FleetCache(events)
     private val watcher = FleetWatcher(store, cache, events)
     private val crashGuard = CrashGuard(events)
+    private val notices = TargetNotices()
+    private val answerNotices = AnswerNotices(notices, cache, events)
     private val peers =
-        PeerExchange(settings.instance, settings.peerAddress, settings.seedAddresses, store, cache, crashGuard, events)
+        PeerExchange(settings.instance, settings.peerAddress, settings.seedAddresses, store, cache, crashGuard, answerNotices, events)
     private val loads = TargetLoads()
     private val retryBudgets = ConcurrentHashMap<String, RetryBudget>()
     private val streamQueues = ConcurrentHashMap<String, StreamQueue>()
@@ -67,6 +69,7 @@
         EntryMetrics(
             cache,
             loads,
+            notices,
             inFlight::get,
             { streamQueues.values.sumOf { it.waitingCount } },
             peers::peerCount,
@@ -82,14 +85,13 @@
 
     private val forwarder =
         DirectForwarder(
-            localDataCentre = settings.dataCentre,
             snapshot = { cache.snapshot },
             loads = loads,
-            sender = TargetSender(),
+            targets = TargetSelector(settings.dataCentre, { cache.snapshot }, loads, notices, peers::entryCount),
+            sender = TargetSender(notices, answerNotices::onAnswer),
             retryBudgetFor = { service ->
                 retryBudgets.computeIfAbsent(service) { RetryBudget(settings.limits.retrySlack / RETRY_SLACK_DIVISOR) }
             },
-            coldStartLimiter = ColdStartRateLimiter(),
             entryCount = peers::entryCount,
             crashGuard = crashGuard,
             retryPercent = settings.limits.retryPercent,
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -7,11 +7,8 @@
 package io.jaybeam.entry.direct
 
 import io.jaybeam.core.admission.StreamAdmission
-import io.jaybeam.core.fleet.ColdStartRateLimiter
 import io.jaybeam.core.fleet.FleetTarget
 import io.jaybeam.core.fleet.RouteKind
-import io.jaybeam.core.fleet.chooseTarget
-import io.jaybeam.core.fleet.coldStartRatePerInstance
 import io.jaybeam.core.quarantine.QuarantineDecision
 import io.jaybeam.core.routing.RetryBudget
 import io.jaybeam.entry.answer.AnswerFraming
@@ -31,12 +28,11 @@
 
 /** Forwards calls. Thread-safe: each call has its own [CallExecution]. */
 internal class DirectForwarder(
-    private val localDataCentre: String,
     private val snapshot: () -> FleetSnapshot,
     private val loads: TargetLoads,
+    private val targets: TargetSelector,
     private val sender: TargetSender,
     private val retryBudgetFor: (String) -> RetryBudget,
-    private val coldStartLimiter: ColdStartRateLimiter,
     private val entryCount: () -> Int,
     private val retryPercent: Int,
     private val crashGuard: CrashGuard,
@@ -57,10 +53,17 @@
     }
 
     private fun forwardUnlessQuarantined(call: DirectCall, response: DirectResponse): CallRecord {
+        refusalIfUnavailable(call)?.let { return CallRecord(it) }
         val admission = admissionFor(call)
         return if (admission == null) CallExecution(call, response, null).run() else forwardWhenAdmitted(call, response, admission)
     }
 
+    /** Returns the refusal of [call] if none of its targets takes requests now, so that it does not wait for a turn in vain. */
+    private fun refusalIfUnavailable(call: DirectCall): CallOutcome.Refused? {
+        if (!targets.isUnavailable(call.service)) return null
+        return CallOutcome.Refused(Refusal.NO_TARGET, "its targets leave or pause", targets.retryAfterPauseMillis(call.service))
+    }
+
     private fun quarantined(refusal: QuarantineDecision.Refuse) =
         CallOutcome.Refused(Refusal.QUARANTINED, "${refusal.trait}", refusal.retryAfterMillis)
 
@@ -139,7 +142,7 @@
 
         private fun attemptAs(decision: QuarantineDecision): CallOutcome? =
             try {
-                val target = nextTarget()
+                val target = targets.next(call.service, triedTargetIds)
                 if (target == null) giveUp(if (mayHaveRun) Refusal.OUTCOME_UNKNOWN else Refusal.NO_TARGET) else attempt(target)
             } finally {
                 crashGuard.endAttempt(decision)
@@ -150,23 +153,6 @@
             return isAllowed && retryBudget.tryRetry()
         }
 
-        private fun nextTarget(): FleetTarget? {
-            val snapshot = snapshot()
-            val nowNanos = System.nanoTime()
-            val requestsPerSecond = snapshot.routes?.service(call.service)?.coldStartRequestsPerSecond ?: 0.0
-            val rate = coldStartRatePerInstance(requestsPerSecond, entryCount())
-            val isLimited = requestsPerSecond > 0.0
-            val candidates =
-                snapshot.targets
-                    .availableTargets(call.service, snapshot.dataCentresOut)
-                    .filterTo(mutableListOf()) { it.id !in triedTargetIds }
-            if (isLimited) candidates.removeAll { snapshot.isInColdStart(it.id, nowNanos) && !coldStartLimiter.hasCapacity(it.id, rate) }
-            val chosen = chooseTarget(candidates.map(loads::of), localDataCentre, Random.Default) ?: return null
-            val isAcquired =
-                !isLimited || !snapshot.isInColdStart(chosen.id, nowNanos) || coldStartLimiter.tryAcquire(chosen.id, rate)
-            return chosen.takeIf { isAcquired }
-        }
-
         /** Sends the call to [target]; returns its outcome, or null to try another target. */
         private fun attempt(target: FleetTarget): CallOutcome? {
             val record = newRecord(target)
@@ -364,14 +350,14 @@
 
         /**
          * Returns the delay before a retry, or null for the default of [refusal]. A rank group of which two ranks refuse a
-         * stream is unavailable and needs longer to recover.
+         * stream is unavailable and needs longer to recover; targets that all pause state for how long.
          */
-        private fun retryAfterMillis(refusal: Refusal): Long? =
-            if (refusal == Refusal.NOT_RUN && call.route.kind == RouteKind.STREAM) {
-                GROUP_RECOVERY_MILLIS + Random.nextLong(RETRY_JITTER_MILLIS)
-            } else {
-                null
-            }
+        private fun retryAfterMillis(refusal: Refusal): Long? {
+            if (refusal != Refusal.NOT_RUN && refusal != Refusal.NO_TARGET) return null
+            val isGroupUnavailable = refusal == Refusal.NOT_RUN && call.route.kind == RouteKind.STREAM
+            val recoveryMillis = if (isGroupUnavailable) GROUP_RECOVERY_MILLIS + Random.nextLong(RETRY_JITTER_MILLIS) else null
+            return listOfNotNull(recoveryMillis, targets.retryAfterPauseMillis(call.service)).maxOrNull()
+        }
 
         private fun newRecord(target: FleetTarget): SendRecord {
             val ageMillis = (System.nanoTime() - snapshot().targetsReadAtNanos) / NANOS_PER_MILLI
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/EntryMetrics.kt
@@ -5,6 +5,7 @@
 
 import io.javalin.http.Context
 import io.jaybeam.core.fleet.TargetLoad
+import io.jaybeam.core.fleet.TargetNotices
 import io.jaybeam.runtime.observe.metricsRegistry
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Gauge
@@ -20,6 +21,7 @@
 internal class EntryMetrics(
     private val cache: FleetCache,
     private val loads: TargetLoads,
+    private val notices: TargetNotices,
     inFlight: () -> Int,
     waitingStreams: () -> Int,
     private val peerCount: () -> Int,
@@ -38,6 +40,8 @@
         Gauge.builder("jaybeam.entry.streams.waiting", waitingStreams).register(registry)
         Gauge.builder("jaybeam.entry.peers", peerCount).register(registry)
         Gauge.builder("jaybeam.entry.traits.blamed", blamedTraitCount).register(registry)
+        Gauge.builder("jaybeam.entry.targets.leaving") { listedTargets().count(notices::isLeaving) }.register(registry)
+        Gauge.builder("jaybeam.entry.targets.paused") { listedTargets().count { notices.pauseMillisOf(it) > 0 } }.register(registry)
         Gauge.builder("jaybeam.config.version") { cache.snapshot.configVersion }.register(registry)
         Gauge.builder("jaybeam.targets.age.millis") { targetsAgeMillis() }.register(registry)
     }
@@ -69,6 +73,8 @@
             is CallOutcome.CallerGone -> "caller_gone"
         }
 
+    private fun listedTargets() = cache.snapshot.targets.byId.values
+
     private fun targetsAgeMillis() = (System.nanoTime() - cache.snapshot.targetsReadAtNanos) / NANOS_PER_MILLI
 
     private fun dump(): JsonObject {
@@ -97,7 +103,8 @@
             put("service", load.target.service)
             put("address", "${load.target.host}:${load.target.port}")
             put("dataCentre", load.target.dataCentre)
-            put("isLeaving", load.target.isDraining)
+            put("isLeaving", load.target.isDraining || notices.isLeaving(load.target))
+            put("pauseMillis", notices.pauseMillisOf(load.target))
             put("requests", load.requestsInFlight)
             put("recentFailures", load.recentFailures)
         }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
@@ -41,6 +41,22 @@
             if (value.isComplete) completeLatch.countDown()
         }
 
+    @Volatile
+    private var targetsReadRequestedAtNanos: Long? = null
+
+    /** Asks for a read of the targets soon, because one of them is said to leave. */
+    fun requestTargetsRead() {
+        synchronized(this) { if (targetsReadRequestedAtNanos == null) targetsReadRequestedAtNanos = nanoTime() }
+    }
+
+    /** Returns the time since a read was requested that has not been made, in milliseconds; null if there is no such request. */
+    fun requestedReadAgeMillis(): Long? =
+        synchronized(this) {
+            val requestedAtNanos = targetsReadRequestedAtNanos ?: return null
+            if (snapshot.targetsReadAtNanos - requestedAtNanos > 0) targetsReadRequestedAtNanos = null
+            targetsReadRequestedAtNanos?.let { (nanoTime() - it) / NANOS_PER_MILLI }
+        }
+
     /** Blocks until the snapshot is complete, for at most [limitMillis]. */
     fun awaitComplete(limitMillis: Long) {
         completeLatch.await(limitMillis, TimeUnit.MILLISECONDS)
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetWatcher.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetWatcher.kt
@@ -21,6 +21,9 @@
 private const val TARGETS_READ_JITTER_MILLIS = 200L
 private const val TARGETS_AGE_CHECK_INTERVAL_MILLIS = 50L
 
+// Entries that learn of the same leaving target read the store at different times, so that usually only the first one reads.
+private const val REQUESTED_READ_JITTER_MILLIS = 200L
+
 // A long poll costs one call regardless of its length. However, a dead connection is detected only at the end of the poll,
 // and a change must be in force within two seconds.
 private const val OPERATOR_LONG_POLL_MILLIS = 2_000L
@@ -54,9 +57,11 @@
 
     private fun awaitTargetsReadTime() {
         val maxAgeMillis = TARGETS_READ_INTERVAL_MILLIS + Random.nextLong(TARGETS_READ_JITTER_MILLIS)
+        val requestedReadDelayMillis = Random.nextLong(REQUESTED_READ_JITTER_MILLIS)
         while (cache.snapshot.targetsPosition != UNREAD) {
             val ageMillis = (System.nanoTime() - cache.snapshot.targetsReadAtNanos) / NANOS_PER_MILLI
             if (ageMillis >= maxAgeMillis) return
+            if ((cache.requestedReadAgeMillis() ?: -1) >= requestedReadDelayMillis) return
             Thread.sleep(minOf(TARGETS_AGE_CHECK_INTERVAL_MILLIS, maxAgeMillis - ageMillis))
         }
     }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/PeerExchange.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/PeerExchange.kt
@@ -2,7 +2,7 @@
  * Links between entries. Each entry sends its peers the version and positions of its fleet state and requests newer state from
  * peers that have it. An entry that the store refuses therefore stays up to date as long as it is linked, directly or through
  * other entries, to one that the store answers. Over the same links, entries tell each other which requests crash targets; each
- * passes on what was new to it.
+ * passes on what was new to it. They also tell each other which targets have stated that they leave.
  */
 package io.jaybeam.entry.direct
 
@@ -13,6 +13,7 @@
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
 import io.jaybeam.runtime.repeatStep
+import io.jaybeam.runtime.writeUnexpectedFailure
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkHandler
@@ -41,14 +42,16 @@
     private val store: FleetStore,
     private val cache: FleetCache,
     private val crashGuard: CrashGuard,
+    private val answerNotices: AnswerNotices,
     private val events: EventLog,
 ) : AutoCloseable {
     private class Peer(
         val address: HostPort?,
         val acceptsQuarantineNews: Boolean = false,
+        val acceptsLeavingTargets: Boolean = false,
     )
 
-    private val runtime = LinkRuntime()
+    private val runtime = LinkRuntime(onAcceptFailure = { events.writeUnexpectedFailure("accept links", it) })
     private val peers = ConcurrentHashMap<Link, Peer>()
     private val peerAddresses = ConcurrentHashMap.newKeySet<HostPort>()
     private val seedAddresses = ConcurrentHashMap.newKeySet<HostPort>().also { it += initialSeedAddresses - address }
@@ -69,6 +72,7 @@
         runtime.listen(address.host, address.port) { Handler(null) }
         cache.addReadListener { broadcast() }
         crashGuard.addListener { sendQuarantineNews(it, except = null) }
+        answerNotices.addListener { news -> peers.filterValues { it.acceptsLeavingTargets }.keys.forEach { it.send(news) } }
         thread(name = "peers", isDaemon = true) { run() }
         thread(name = "membership", isDaemon = true) { maintainMembership() }
     }
@@ -128,7 +132,14 @@
     }
 
     private fun newHello() =
-        Frame.PeerHello(PROTOCOL_VERSION, instance, address, peerAddresses.take(MAX_PEER_ADDRESSES), acceptsQuarantineNews = true)
+        Frame.PeerHello(
+            PROTOCOL_VERSION,
+            instance,
+            address,
+            peerAddresses.take(MAX_PEER_ADDRESSES),
+            acceptsQuarantineNews = true,
+            acceptsLeavingTargets = true,
+        )
 
     private fun broadcast() {
         val snapshot = cache.snapshot
@@ -141,7 +152,7 @@
         if (hello.protocolVersion != PROTOCOL_VERSION) {
             return link.close("protocol version ${hello.protocolVersion} is not $PROTOCOL_VERSION; run the same release on both ends")
         }
-        peers[link] = Peer(hello.address, hello.acceptsQuarantineNews)
+        peers[link] = Peer(hello.address, hello.acceptsQuarantineNews, hello.acceptsLeavingTargets)
         if (peerAddresses.size < MAX_PEER_ADDRESSES) peerAddresses += (hello.peerAddresses + hello.address) - address
         if (isIncoming) link.send(newHello())
         if (hello.acceptsQuarantineNews) crashGuard.currentNews()?.let { link.send(it) }
@@ -164,6 +175,7 @@
                 is Frame.FleetNews -> cache.requestFor(frame)?.let { link.send(it) }
                 is Frame.FleetRequest -> link.send(cache.stateFor(frame))
                 is Frame.FleetState -> cache.onPeerState(frame)
+                is Frame.LeavingTargets -> answerNotices.onNews(frame)
                 is Frame.QuarantineNews ->
                     crashGuard
                         .onNews(
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSelector.kt
@@ -0,0 +1,53 @@
+/*
+ * Selects the target of an attempt among those that the store lists, that take requests and that have room while they are cold.
+ */
+package io.jaybeam.entry.direct
+
+import io.jaybeam.core.fleet.ColdStartRateLimiter
+import io.jaybeam.core.fleet.FleetTarget
+import io.jaybeam.core.fleet.TargetNotices
+import io.jaybeam.core.fleet.chooseTarget
+import io.jaybeam.core.fleet.coldStartRatePerInstance
+import io.jaybeam.core.fleet.spreadDelayMillis
+import kotlin.random.Random
+
+/** Selects targets for one entry. Thread-safe. */
+internal class TargetSelector(
+    private val localDataCentre: String,
+    private val snapshot: () -> FleetSnapshot,
+    private val loads: TargetLoads,
+    private val notices: TargetNotices,
+    private val entryCount: () -> Int,
+) {
+    private val coldStartLimiter = ColdStartRateLimiter()
+
+    /** Returns the target of [service] for the next attempt of a request that was sent to [triedTargetIds]; null if there is none. */
+    fun next(service: String, triedTargetIds: Set<String>): FleetTarget? {
+        val snapshot = snapshot()
+        val nowNanos = System.nanoTime()
+        val requestsPerSecond = snapshot.routes?.service(service)?.coldStartRequestsPerSecond ?: 0.0
+        val rate = coldStartRatePerInstance(requestsPerSecond, entryCount())
+        val isLimited = requestsPerSecond > 0.0
+        val candidates = listed(service).filterTo(mutableListOf()) { it.id !in triedTargetIds && notices.acceptsRequests(it) }
+        if (isLimited) candidates.removeAll { snapshot.isInColdStart(it.id, nowNanos) && !coldStartLimiter.hasCapacity(it.id, rate) }
+        val chosen = chooseTarget(candidates.map(loads::of), localDataCentre, Random.Default) ?: return null
+        val isAcquired =
+            !isLimited || !snapshot.isInColdStart(chosen.id, nowNanos) || coldStartLimiter.tryAcquire(chosen.id, rate)
+        return chosen.takeIf { isAcquired }
+    }
+
+    /** Whether the store lists targets of [service] but each of them leaves or pauses. */
+    fun isUnavailable(service: String): Boolean {
+        val targets = listed(service)
+        return targets.isNotEmpty() && targets.none(notices::acceptsRequests)
+    }
+
+    /**
+     * Returns the time until a target of [service] takes requests again, in milliseconds, with an addition that differs by caller;
+     * null if one takes them now or if none will.
+     */
+    fun retryAfterPauseMillis(service: String): Long? =
+        notices.millisUntilAccepted(listed(service))?.let { spreadDelayMillis(it, Random.Default) }
+
+    private fun listed(service: String): List<FleetTarget> = snapshot().let { it.targets.availableTargets(service, it.dataCentresOut) }
+}
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -4,6 +4,7 @@
 package io.jaybeam.entry.direct
 
 import io.jaybeam.core.fleet.FleetTarget
+import io.jaybeam.core.fleet.TargetNotices
 import io.jaybeam.platform.Header
 import io.jaybeam.platform.TargetAnswer
 import io.jaybeam.platform.decodeTargetAnswer
@@ -59,9 +60,21 @@
     data object Unsendable : SendOutcome()
 }
 
-/** Sends requests to targets. Thread-safe. */
-internal class TargetSender {
-    private class Progress {
+/** The target has stopped taking requests while its connection was opened. No request was written. */
+private class TargetUnavailableException : IOException("the target takes no requests any more")
+
+/**
+ * Sends requests to targets. Thread-safe.
+ *
+ * [onAnswer] is called with each answer of a target, also with those that cannot be relayed.
+ */
+internal class TargetSender(
+    private val notices: TargetNotices = TargetNotices(),
+    private val onAnswer: (DirectCall, FleetTarget, TargetAnswer) -> Unit = { _, _, _ -> },
+) {
+    private class Progress(
+        val target: FleetTarget,
+    ) {
         @Volatile
         var isRequestStarted = false
 
@@ -83,7 +96,9 @@
             .addNetworkInterceptor { chain ->
                 val socket = chain.connection()?.socket() as? TargetSocket
                 socket?.onRequestStart()
-                chain.request().tag(Progress::class.java)?.socket = socket
+                val progress = chain.request().tag(Progress::class.java)
+                progress?.socket = socket
+                if (progress != null && !notices.acceptsRequests(progress.target)) throw TargetUnavailableException()
                 chain.proceed(chain.request())
             }.build()
 
@@ -106,7 +121,7 @@
         if (url == null || !url.toString().endsWith(call.pathAndQuery)) return SendOutcome.Unsendable
         val remainingMillis = call.remainingMillis(System.nanoTime())
         val headers = targetHeaders(call.headers, call.connectionHeader, target.id, call.organisation, remainingMillis)
-        val progress = Progress()
+        val progress = Progress(target)
         val request =
             Request
                 .Builder()
@@ -148,6 +163,7 @@
         progress: Progress,
     ): SendOutcome {
         val answer = decodeTargetAnswer(received.code, received::header)
+        onAnswer(call, progress.target, answer)
         val fault = faultOf(call, received, answer, progress)
         if (fault != null) {
             // The rest of the answer must not reach another request, so the connection must not be reused.
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/WarmUp.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/WarmUp.kt
@@ -20,6 +20,7 @@
 import io.jaybeam.core.fleet.Route
 import io.jaybeam.core.fleet.RouteKind
 import io.jaybeam.core.fleet.StoreFault
+import io.jaybeam.core.fleet.TargetNotices
 import io.jaybeam.core.fleet.TargetUpdate
 import io.jaybeam.core.fleet.WeightedService
 import io.jaybeam.platform.platformStore
@@ -42,14 +43,16 @@
     val settings = warmUpSettings(ports)
     val store = WarmUpStore(checkNotNull(settings.readinessAddress))
     val entry = DirectEntry(settings, store, Clock.System)
+    val peerCache = FleetCache(warmUpLog())
     val peer =
         PeerExchange(
             "peer",
             HostPort(HOST, ports.last()),
             listOf(settings.peerAddress),
             store,
-            FleetCache(warmUpLog()),
+            peerCache,
             CrashGuard(warmUpLog()),
+            AnswerNotices(TargetNotices(), peerCache, warmUpLog()),
             warmUpLog(),
         )
     entry.start()
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
@@ -49,6 +49,26 @@
         assertEquals(14, cache.snapshot.targetsPosition)
     }
 
+    @Test
+    fun `an entry that has restarted uses no target and no configuration again that left before its start`() {
+        // The peer was cut off from the store before target b left and version 9 was published.
+        peerCache.onOperatorPage(UNREAD, published(8, position = 4))
+        peerCache.onTargetsPage(UNREAD, announced(position = 12, "a", "b"))
+        val restarted = newCache()
+        val request = assertNotNull(restarted.requestFor(newsOf(peerCache)))
+        restarted.onTargetsPage(UNREAD, announced(position = 14, "a"))
+        restarted.onOperatorPage(UNREAD, published(9, position = 6))
+        restarted.onPeerState(peerCache.stateFor(request))
+        assertEquals(setOf("a"), restarted.snapshot.targets.byId.keys)
+        assertEquals(9, restarted.snapshot.configVersion)
+        val other = newCache()
+        other.onPeerState(peerCache.stateFor(request))
+        other.onTargetsPage(UNREAD, announced(position = 14, "a"))
+        other.onOperatorPage(UNREAD, published(9, position = 6))
+        assertEquals(setOf("a"), other.snapshot.targets.byId.keys)
+        assertEquals(9, other.snapshot.configVersion)
+    }
+
     @Test
     fun `a peer that read the same position renews the age of the targets`() {
         cache.onTargetsPage(UNREAD, announced(position = 12, "a"))
--- a/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Frames.kt
@@ -241,7 +241,8 @@
 
     /**
      * First frame in each direction of a link between entries. [peerAddresses] are addresses of other entries.
-     * [acceptsQuarantineNews] is false for entries of earlier releases, which do not know [QuarantineNews].
+     * [acceptsQuarantineNews] and [acceptsLeavingTargets] are false for entries of earlier releases, which do not know
+     * [QuarantineNews] or [LeavingTargets].
      */
     @Serializable
     @SerialName("ph")
@@ -251,6 +252,14 @@
         @CborLabel(3) val address: HostPort,
         @CborLabel(4) @SerialName("known") val peerAddresses: List<HostPort>,
         @CborLabel(5) val acceptsQuarantineNews: Boolean = false,
+        @CborLabel(6) val acceptsLeavingTargets: Boolean = false,
+    ) : Frame()
+
+    /** Ids of targets that have stated to the sender that they leave. */
+    @Serializable
+    @SerialName("lt")
+    public data class LeavingTargets(
+        @CborLabel(1) val targetIds: List<String>,
     ) : Frame()
 
     /** Traits of requests that are [blamed] for crashes of targets, and traits that are [cleared] of blame by a target's output. */
