A side sends its target nothing while the target pauses or once it leaves

Cause: on jaybeam's own path, too, a 503 with Retry-After was relayed and the next request sent at once. Change: the side keeps queued requests until the pause ends, refuses new ones with the rest of the pause and tells the entries, which then choose other targets; a target that leaves (Jaybeam-Leaving: 1) takes no more until another incarnation is seen. Statements of an incarnation that was replaced change nothing.

--- a/side/src/main/kotlin/io/jaybeam/side/RequestScheduler.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/RequestScheduler.kt
@@ -86,6 +86,12 @@
     private var queuedSuspectCount = 0
     private var isSuspectRunning = false
 
+    /** End of the time for which the target wants no request. */
+    private var pauseEndMillis = 0L
+
+    /** The incarnation that has stated that it leaves. */
+    private var leavingIncarnation: String? = null
+
     /** Latest snapshot of the state. */
     @Volatile
     var snapshot = SchedulerSnapshot()
@@ -123,6 +129,7 @@
             is SchedulerMessage.StepTaken -> admission.onStep(message.stepMillis, monotonicMillis())
             is SchedulerMessage.CallFinished -> onCallFinished(message)
             is SchedulerMessage.HealthChecked -> onHealth(message.health)
+            is SchedulerMessage.WorkStated -> onWorkStated(message)
             is SchedulerMessage.ConfigChanged -> onConfigChange(message.state)
             is SchedulerMessage.StartDraining -> startDraining()
         }
@@ -177,6 +184,8 @@
             state == null -> RefusalReason.NOT_READY
             !state.effective().isInService(settings.common.dataCentre, self.instance) -> RefusalReason.OUT_OF_SERVICE
             healthTracker.incarnation == null -> RefusalReason.TARGET_DOWN
+            healthTracker.incarnation == leavingIncarnation -> RefusalReason.DRAINING
+            pauseMillis() > 0 -> RefusalReason.OVER_LIMIT
             else -> null
         }
     }
@@ -200,7 +209,7 @@
     }
 
     private fun startQueued() {
-        while (queue.size > 0 && !isSuspectRunning) {
+        while (queue.size > 0 && !isSuspectRunning && pauseMillis() == 0L) {
             val now = monotonicMillis()
             if (queuedSuspectCount > 0) return startQueuedSuspect(now)
             if (!admission.tryAcquire(now)) return
@@ -232,7 +241,11 @@
         val outcome =
             try {
                 call.run(
-                    onHead = request.answer::setHead,
+                    onHead = { status, headers ->
+                        workStatementOrNull(status, headers)
+                            ?.let { worker.put(SchedulerMessage.WorkStated(request.targetIncarnation, it)) }
+                        request.answer.setHead(status, headers)
+                    },
                     onBytes = { bytes ->
                         val nowNanos = System.nanoTime()
                         if (isModel && lastNanos != 0L) worker.offer(SchedulerMessage.StepTaken((nowNanos - lastNanos) / NANOS_PER_MILLI))
@@ -283,6 +296,7 @@
                 targetClient.dropIdleConnections()
                 if (change.isCrash && previousIncarnation != null) onTargetCrash()
                 healthTracker.observe(health, hasRunning = false)
+                pauseEndMillis = 0
                 admission.onColdStart(monotonicMillis())
             }
 
@@ -293,9 +307,33 @@
         }
     }
 
+    private fun onWorkStated(message: SchedulerMessage.WorkStated) {
+        // A call may end after the target has been replaced.
+        if (message.incarnation == null || message.incarnation != healthTracker.incarnation) return
+        if (message.statement.isLeaving && leavingIncarnation != message.incarnation) {
+            leavingIncarnation = message.incarnation
+            events.write(LogEvent.TARGET_LEAVING, LogField("target", message.incarnation))
+            refuseQueued(RefusalReason.DRAINING)
+        }
+        val retryAfter = message.statement.retryAfter ?: return
+        val isNew = pauseMillis() == 0L && retryAfter.delayMillis > 0
+        pauseEndMillis = maxOf(pauseEndMillis, monotonicMillis() + retryAfter.delayMillis)
+        if (!isNew && retryAfter.fault == null) return
+        events.write(
+            LogEvent.TARGET_PAUSED,
+            LogField("target", message.incarnation),
+            LogField("millis", "${retryAfter.delayMillis}"),
+            LogField("fault", retryAfter.fault.orEmpty()),
+        )
+    }
+
+    private fun pauseMillis(): Long = maxOf(0, pauseEndMillis - monotonicMillis())
+
+    private fun retryAfterMillis(): Long = pauseMillis().takeIf { it > 0 } ?: RETRY_AFTER_MILLIS
+
     private fun refuseAccepted(request: ServedRequest, reason: RefusalReason) {
         request.execute.ticket?.let { ledger.refuseAccepted(it, reason) }
-        request.answer.refuse(reason, RETRY_AFTER_MILLIS)
+        request.answer.refuse(reason, retryAfterMillis())
         remove(request)
     }
 
@@ -349,7 +387,7 @@
     }
 
     private fun refuse(link: Link, execute: Frame.Execute, reason: RefusalReason) {
-        link.send(Frame.Refused(execute.requestId, execute.attemptId, reason, RETRY_AFTER_MILLIS))
+        link.send(Frame.Refused(execute.requestId, execute.attemptId, reason, retryAfterMillis()))
     }
 
     private fun publishSnapshot() {
--- a/side/src/main/kotlin/io/jaybeam/side/SchedulerMessage.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/SchedulerMessage.kt
@@ -38,6 +38,12 @@
         val isTargetDown: Boolean,
     ) : SchedulerMessage()
 
+    /** [incarnation] of the target has stated in an answer what work it takes. */
+    data class WorkStated(
+        val incarnation: String?,
+        val statement: WorkStatement,
+    ) : SchedulerMessage()
+
     /** A health check has finished; [health] is null if the target did not answer. */
     data class HealthChecked(
         val health: TargetHealth?,
