A stopping entry refuses what it may not finish and closes connections only while they are idle

Cause: every request was taken until half of the grace period, whatever its time limit, and closing the server cut requests that had just been read. Change: StopAdmission takes a request only if its time limit, or the longest that its kind has lately taken, ends before the stop; at the end only connections without a request are closed, those with one after their answer, or after 200 ms.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -4,9 +4,12 @@
 package io.jaybeam.entry.direct
 
 import io.javalin.http.Context
+import io.jaybeam.core.admission.LongestDuration
+import io.jaybeam.core.admission.StopAdmission
 import io.jaybeam.core.fleet.FleetStore
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.InstanceSettings
+import io.jaybeam.core.fleet.RouteKind
 import io.jaybeam.core.fleet.RouteMatch
 import io.jaybeam.core.fleet.RouteTable
 import io.jaybeam.core.fleet.TargetNotices
@@ -42,6 +45,21 @@
 /** Methods for which the HTTP client sends no body. */
 private val methodsWithoutBody = setOf("GET", "HEAD")
 
+/**
+ * The stop of an entry, which began at [startedNanos].
+ *
+ * @property isRefusingAll whether no request is taken any more, because the connections are about to be closed.
+ */
+private class Stop(
+    private val startedNanos: Long,
+    val admission: StopAdmission,
+) {
+    @Volatile
+    var isRefusingAll = false
+
+    fun elapsedMillis(): Long = (System.nanoTime() - startedNanos) / NANOS_PER_MILLI
+}
+
 /** Entry process that is configured by the platform's settings and store. */
 internal class DirectEntry(
     private val settings: InstanceSettings,
@@ -79,9 +97,9 @@
     @Volatile
     private var isStopping = false
 
-    /** Whether new requests are refused because they might not finish before the process ends. */
     @Volatile
-    private var isRefusingRequests = false
+    private var stop: Stop? = null
+    private val longestByKind = RouteKind.entries.associateWith { LongestDuration { System.nanoTime() / NANOS_PER_MILLI } }
 
     private val forwarder =
         DirectForwarder(
@@ -128,14 +146,14 @@
     override fun stop() {
         events.write(LogEvent.PROCESS_STOPPING, LogField("inFlight", "${inFlight.get()}"))
         isStopping = true
-        val stopStartedNanos = System.nanoTime()
-        val elapsedMillis = { (System.nanoTime() - stopStartedNanos) / NANOS_PER_MILLI }
         val limitMillis = settings.limits.shutdownGraceMillis - STOP_MARGIN_MILLIS
-        while (elapsedMillis() < limitMillis && (elapsedMillis() < OUT_OF_ROTATION_MILLIS || inFlight.get() > 0)) {
-            isRefusingRequests = elapsedMillis() > settings.limits.shutdownGraceMillis / 2
+        val currentStop = Stop(System.nanoTime(), StopAdmission(limitMillis)).also { stop = it }
+        while (currentStop.elapsedMillis() < limitMillis &&
+            (currentStop.elapsedMillis() < OUT_OF_ROTATION_MILLIS || inFlight.get() > 0)
+        ) {
             Thread.sleep(DRAIN_CHECK_INTERVAL_MILLIS)
         }
-        isRefusingRequests = true
+        currentStop.isRefusingAll = true
         server.close()
         peers.close()
         events.write(LogEvent.PROCESS_STOPPED, LogField("inFlight", "${inFlight.get()}"))
@@ -190,7 +208,7 @@
         arrivedNanos: Long,
         response: ServletResponse,
     ): CallRecord {
-        if (isRefusingRequests) return refuse(Refusal.STOPPING, response)
+        if (stop?.isRefusingAll == true) return refuse(Refusal.STOPPING, response)
         if (!cache.snapshot.isComplete) cache.awaitComplete(STARTUP_WAIT_MILLIS - (System.nanoTime() - startedNanos) / NANOS_PER_MILLI)
         val routes = cache.snapshot.routes ?: return refuse(Refusal.NO_CONFIGURATION, response)
         val path = context.req().requestURI
@@ -220,7 +238,21 @@
         val body = readBody(context, routes.config.callerLimits.bodyBytes) ?: return refuse(Refusal.TOO_LARGE, response)
         if (body.isNotEmpty() && context.req().method in methodsWithoutBody) return refuse(Refusal.UNSENDABLE_BODY, response)
         val headers = headersOrNull(context.req()) ?: return refuse(Refusal.MALFORMED_HEADER, response)
-        return forwarder.forward(newCall(context, caller, match, routes, headers, body, arrivedNanos), response)
+        val call = newCall(context, caller, match, routes, headers, body, arrivedNanos)
+        if (!mayFinishBeforeStop(call)) return refuse(Refusal.STOPPING, response)
+        return forwarder.forward(call, response).also { recordDuration(call, it.outcome) }
+    }
+
+    private fun mayFinishBeforeStop(call: DirectCall): Boolean {
+        val currentStop = stop ?: return true
+        if (currentStop.isRefusingAll) return false
+        val limitMillis = call.remainingMillis(System.nanoTime())
+        return currentStop.admission.accepts(currentStop.elapsedMillis(), limitMillis, longestByKind.getValue(call.route.kind).millis)
+    }
+
+    private fun recordDuration(call: DirectCall, outcome: CallOutcome) {
+        if (outcome !is CallOutcome.Answered) return
+        longestByKind.getValue(call.route.kind).record((System.nanoTime() - call.arrivedNanos) / NANOS_PER_MILLI)
     }
 
     private fun refuse(refusal: Refusal, response: ServletResponse): CallRecord {
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectHttpServer.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectHttpServer.kt
@@ -35,6 +35,10 @@
 // The platform states an idle timeout of 15 s, and callers reuse a connection that has been idle for up to four fifths of
 // it. This longer timeout avoids closing a connection that is about to be reused.
 private const val IDLE_CONNECTION_TIMEOUT_MILLIS = 60_000L
+
+// Long enough for refusals of the requests that were read last, while streams that are still running end with the process.
+private const val CLOSE_LIMIT_MILLIS = 200L
+private const val CLOSE_CHECK_INTERVAL_MILLIS = 5L
 private const val MILLIS_PER_SECOND = 1_000.0
 private const val READY_PATH = "/v1/ready"
 
@@ -63,6 +67,7 @@
     private val isReady: () -> Boolean,
     private val isStopping: () -> Boolean,
 ) {
+    private val callerConnections = ArrayList<WatchedConnectionFactory>()
     private val readinessPort = readinessAddress?.port?.takeIf { it != callerSocket.socket().localPort }
     private val server =
         Javalin.create { config ->
@@ -84,7 +89,18 @@
         server.start()
     }
 
+    /**
+     * Closes the server. Connections of callers close once the request that was read on them has been answered, or after
+     * [CLOSE_LIMIT_MILLIS].
+     */
     fun close() {
+        callerSocket.close()
+        val startedNanos = System.nanoTime()
+        while (!callerConnections.map { it.closeIdle() }.all { it } &&
+            System.nanoTime() - startedNanos < CLOSE_LIMIT_MILLIS * NANOS_PER_MILLI
+        ) {
+            Thread.sleep(CLOSE_CHECK_INTERVAL_MILLIS)
+        }
         server.stop()
     }
 
@@ -96,7 +112,8 @@
     }
 
     private fun newConnector(server: Server, http: HttpConfiguration): ServerConnector {
-        val connector = ServerConnector(server, null, null, null, 0, SELECTOR_COUNT, WatchedConnectionFactory(HttpConnectionFactory(http)))
+        val connectionFactory = WatchedConnectionFactory(HttpConnectionFactory(http)).also { callerConnections += it }
+        val connector = ServerConnector(server, null, null, null, 0, SELECTOR_COUNT, connectionFactory)
         connector.acceptQueueSize = ACCEPT_BACKLOG
         connector.idleTimeout = IDLE_CONNECTION_TIMEOUT_MILLIS
         return connector
@@ -115,6 +132,7 @@
         }
         if (context.req().localPort == operatorAddress?.port) return serveOperators(context)
         val response = ServletResponse(context, isStopping)
+        response.open()
         try {
             serve(context, response)
         } finally {
@@ -154,6 +172,9 @@
         }
     }
 
+    /** States that the request is being served, until [close]. */
+    fun open() = endPoint.onRequestStart()
+
     /** Ends the answer. Stops watching the connection, which the next request may reuse if the answer is complete. */
     fun close() {
         endPoint.unwatch()
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/WatchedConnection.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/WatchedConnection.kt
@@ -1,6 +1,8 @@
 /*
  * Detects that a caller closes its connection while its request is being served. Jetty does not read from a connection during
  * that time, so this end point keeps a read pending. Bytes that arrive meanwhile are buffered for the next request.
+ *
+ * A stopping entry closes connections only while they are idle, so that no request that was read is left without an answer.
  */
 package io.jaybeam.entry.direct
 
@@ -14,6 +16,7 @@
 import java.io.IOException
 import java.net.SocketAddress
 import java.nio.ByteBuffer
+import java.util.concurrent.ConcurrentHashMap
 
 private const val READ_BUFFER_BYTES = 4_096
 
@@ -21,8 +24,27 @@
 internal class WatchedConnectionFactory(
     private val next: ConnectionFactory,
 ) : AbstractConnectionFactory(next.protocol) {
-    override fun newConnection(connector: Connector, endPoint: EndPoint): Connection =
-        next.newConnection(connector, WatchedEndPoint(endPoint))
+    private val endPoints = ConcurrentHashMap.newKeySet<WatchedEndPoint>()
+
+    override fun newConnection(connector: Connector, endPoint: EndPoint): Connection {
+        val watched = WatchedEndPoint(endPoint)
+        endPoints += watched
+        return next.newConnection(connector, watched).also { it.addEventListener(ClosedListener(watched)) }
+    }
+
+    /** Closes the connections on which no request is being read or served; returns whether none is left. */
+    fun closeIdle(): Boolean {
+        endPoints.removeIf { it.closeIfIdle() }
+        return endPoints.isEmpty()
+    }
+
+    private inner class ClosedListener(
+        private val endPoint: WatchedEndPoint,
+    ) : Connection.Listener {
+        override fun onClosed(connection: Connection) {
+            endPoints -= endPoint
+        }
+    }
 }
 
 /** An end point that keeps a read pending on [inner] while it is watched. */
@@ -36,6 +58,24 @@
     private var buffered: ByteBuffer = BufferUtil.EMPTY_BUFFER
     private var isReadPending = false
     private var isInputEnded = false
+    private var isServing = false
+
+    /** Records that a request is being served. Its answer may still be on its way when [unwatch] is called. */
+    fun onRequestStart() {
+        synchronized(lock) { isServing = true }
+    }
+
+    /** Closes the connection if no request is being read or served on it; returns whether it is closed. */
+    fun closeIfIdle(): Boolean {
+        synchronized(lock) {
+            if (!inner.isOpen) return true
+            if (isServing || !isFillInterested || buffered.hasRemaining()) return false
+            // A request that arrives from now on is not read.
+            isInputEnded = true
+        }
+        inner.close()
+        return true
+    }
 
     /** Calls [onClosed] once if the caller closes the connection before [unwatch], or immediately if it is closed already. */
     fun watch(onClosed: () -> Unit) {
@@ -49,9 +89,12 @@
         onClosed()
     }
 
-    /** Stops watching; the pending read serves the next request. */
+    /** Stops watching, as the request has been served; the pending read serves the next one. */
     fun unwatch() {
-        synchronized(lock) { onClosed = null }
+        synchronized(lock) {
+            onClosed = null
+            isServing = false
+        }
     }
 
     override fun unwrap(): EndPoint = inner
