--- a/side/src/main/kotlin/io/jaybeam/side/rank/RankAgent.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RankAgent.kt
@@ -6,7 +6,6 @@
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.placement.GroupMap
 import io.jaybeam.core.placement.changedBy
-import io.jaybeam.core.rankgroup.ExpertCounts
 import io.jaybeam.core.rankgroup.FencedOrder
 import io.jaybeam.core.rankgroup.OrderOutcome
 import io.jaybeam.core.rankgroup.RankPort
@@ -16,10 +15,8 @@
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
-import io.jaybeam.wire.CompactCounts
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
-import io.jaybeam.wire.compactCountsOf
 
 // A map change that takes longer than this has been abandoned.
 private const val MAX_CHANGE_MILLIS = 2_000L
@@ -59,14 +56,13 @@
     private val nanoTime: () -> Long = System::nanoTime,
 ) : AutoCloseable {
     private val worker = WorkerThread("rank", QUEUE_CAPACITY, TICK_INTERVAL_MILLIS, events, ::onMessage, ::onTick)
+    private val demandSampler = DemandSampler(rank, nanoTime)
     private var link: Link? = null
     private var receivedMap: ReceivedMap? = null
-    private var lastCounts: ExpertCounts? = null
     private var reportedMapVersion: Long? = null
     private var sentReading: RankReading? = null
     private var nextReadAtNanos = nanoTime()
     private var nextReportAtNanos = nanoTime()
-    private var nextDemandAtNanos = nanoTime()
     private var changeUntilNanos = nanoTime()
     private var mapVersionBeforeChange = 0L
     private var groupSize = 1
@@ -154,7 +150,8 @@
     }
 
     private fun onTick() {
-        if (nanoTime() < nextReadAtNanos) return
+        demandSampler.onTick()
+        if (nanoTime() < nextReadAtNanos && !isDemandDue) return
         val isChanging = nanoTime() < changeUntilNanos
         nextReadAtNanos = nanoTime() + readIntervalMillis(groupSize, isChanging) * NANOS_PER_MILLI
         val status = readStatusOrNull() ?: return
@@ -162,9 +159,11 @@
         val reading = status.reading
         if (isChanging && reading.mapVersion > mapVersionBeforeChange) changeUntilNanos = nanoTime()
         if (!isChanging) mapVersionBeforeChange = reading.mapVersion
-        if (!isChanging || nanoTime() >= nextReportAtNanos || isNewState(reading)) report(status)
+        if (!isChanging || isDemandDue || nanoTime() >= nextReportAtNanos || isNewState(reading)) report(status)
     }
 
+    private val isDemandDue: Boolean get() = link?.isOpen == true && demandSampler.isDue
+
     /** Whether [reading] differs from the last reading sent in more than the passes that have begun since. */
     private fun isNewState(reading: RankReading) = reading != sentReading?.copy(lastPass = reading.lastPass)
 
@@ -180,7 +179,7 @@
                 emptyList(),
                 experts,
                 address,
-                demandIfDue(),
+                demandSampler.takeIfDue(groupSize),
                 acceptsMapChanges = true,
                 acceptsCompactMapChanges = true,
             ),
@@ -212,27 +211,6 @@
             },
             { experts -> experts.sets.takeIf { experts.mapVersion == mapVersion } },
         )
-
-    /** Returns the demand since it was last reported, or null if that was a short time ago or the demand is unknown. */
-    private fun demandIfDue(): CompactCounts? {
-        if (nanoTime() < nextDemandAtNanos) return null
-        val demand = compactCountsOf(demandSinceLastCall().ifEmpty { return null })
-        nextDemandAtNanos = nanoTime() + demandIntervalMillis(groupSize, demand.levels.size) * NANOS_PER_MILLI
-        return demand
-    }
-
-    /**
-     * Returns how often each expert was used since the last call; empty if that is unknown.
-     *
-     * Counts accumulate from the start of the rank, so they are lower after it has restarted.
-     */
-    private fun demandSinceLastCall(): List<Int> {
-        val current = rank.counts().fold({ return emptyList() }, { it })
-        val previous = lastCounts?.takeIf { it.counts.size == current.counts.size && it.epoch == current.epoch }
-        lastCounts = current
-        if (previous == null) return emptyList()
-        return current.counts.indices.map { (current.counts[it] - previous.counts[it]).coerceIn(0, Int.MAX_VALUE.toLong()).toInt() }
-    }
 }
 
 internal const val NANOS_PER_MILLI = 1_000_000L
