Placement search: a replacement is evaluated exactly where ranks hold an expert in several slots

Cause: the evaluation without allocation counted a rank once for an expert that it holds in several slots, as it does where a free slot repeats its first expert (the map that a group forms with), so a change could lengthen passes. Change: the extra load of a rank is multiplied by the number of its slots with the expert.

--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlanningTimeBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlanningTimeBenchmark.kt
@@ -44,15 +44,7 @@
     var map = roundRobinMap(shape.sets, shape.experts, shape.ranks, shape.slotsPerRank)
     val plans =
         List(SHIFTS) {
-            val demand =
-                GroupDemand(
-                    List(shape.sets) {
-                        List(shape.experts) {
-                            random.nextDouble().pow(POPULARITY_EXPONENT) +
-                                LEAST_POPULARITY
-                        }
-                    },
-                )
+            val demand = randomDemand(shape, random)
             val before = groupSkew(map, demand)
             val (plan, duration) = measureTimedValue { planQuickestPlacement(map, demand, shape.policy, ACCEPTABLE_SKEW) }
             if (plan != null) map = plan.map
@@ -67,3 +59,8 @@
         "${plans.maxOf { it.third }}",
     )
 }
+
+private fun randomDemand(shape: GroupShape, random: Random) =
+    GroupDemand(List(shape.sets) { List(shape.experts) { randomPopularity(random) } })
+
+private fun randomPopularity(random: Random) = random.nextDouble().pow(POPULARITY_EXPONENT) + LEAST_POPULARITY
--- a/core/src/main/kotlin/io/jaybeam/core/admission/StopAdmission.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/StopAdmission.kt
@@ -7,9 +7,7 @@
  */
 package io.jaybeam.core.admission
 
-/**
- * Decides for one stop, after which the process ends in [stopMillis].
- */
+/** Decides for one stop; the process ends [stopMillis] after it began. */
 public class StopAdmission(
     private val stopMillis: Long,
 ) {
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/RetryAfter.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/RetryAfter.kt
@@ -19,14 +19,10 @@
 /** Reads [value], the text of a `Retry-After` header. */
 public fun parseRetryAfter(value: String): RetryAfter {
     val text = value.trim()
-    if (!SECONDS_PATTERN.matches(
-            text,
-        )
-    ) {
-        return RetryAfter(DEFAULT_DELAY_MILLIS, "'${text.take(MAX_QUOTED_CHARS)}' is not a number of seconds")
-    }
+    val quoted = "'${text.take(MAX_QUOTED_CHARS)}'"
+    if (!SECONDS_PATTERN.matches(text)) return RetryAfter(DEFAULT_DELAY_MILLIS, "$quoted is not a number of seconds")
     val seconds = text.toDouble()
-    if (seconds > MAX_DELAY_MILLIS / MILLIS_PER_SECOND) return RetryAfter(MAX_DELAY_MILLIS, "'${text.take(MAX_QUOTED_CHARS)}' is too long")
+    if (seconds > MAX_DELAY_MILLIS / MILLIS_PER_SECOND) return RetryAfter(MAX_DELAY_MILLIS, "$quoted is too long")
     return RetryAfter((seconds * MILLIS_PER_SECOND).toLong())
 }
 
--- a/core/src/main/kotlin/io/jaybeam/core/placement/PlacementSearch.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/placement/PlacementSearch.kt
@@ -240,7 +240,9 @@
         return maxOf(durationOf(rankOf(slot), -delta), durationOf(rankOf(other), delta))
     }
 
-    private fun holds(rank: Int, expert: Int) = heldCounts[rank * load.expertCount + expert] > 0
+    private fun heldCount(rank: Int, expert: Int) = heldCounts[rank * load.expertCount + expert]
+
+    private fun holds(rank: Int, expert: Int) = heldCount(rank, expert) > 0
 
     /** Returns changes that add a copy of [expert] in place of an expert that has further copies. */
     private fun addedCopies(expert: Int): List<Change> {
@@ -264,20 +266,16 @@
         val oldExtra = oldLoadAfter - loadPerCopy(old)
         val addedExtra = addedLoad - loadPerCopy(added)
         val changed = rankOf(slot)
-        var slowest = durationOf(changed, addedLoad - loadPerCopy(old))
-        if (slowest >= giveUpAt) return slowest
-        for (other in slotsByExpert[old]) {
-            if (other == slot) continue
-            val rank = rankOf(other)
-            val duration = durationOf(rank, oldExtra + if (holds(rank, added)) addedExtra else 0.0)
-            if (duration > slowest) slowest = duration
-            if (slowest >= giveUpAt) return slowest
-        }
-        for (other in slotsByExpert[added]) {
-            val rank = rankOf(other)
-            val duration = durationOf(rank, addedExtra + if (holds(rank, old) && rank != changed) oldExtra else 0.0)
-            if (duration > slowest) slowest = duration
-            if (slowest >= giveUpAt) return slowest
+        // A free slot repeats an expert of its rank, so a rank may hold an expert several times.
+        var slowest = durationOf(changed, addedLoad - loadPerCopy(old) + (heldCount(changed, old) - 1) * oldExtra)
+        for (expert in intArrayOf(old, added)) {
+            for (other in slotsByExpert[expert]) {
+                val rank = rankOf(other)
+                if (slowest >= giveUpAt) return slowest
+                if (rank == changed) continue
+                val duration = durationOf(rank, heldCount(rank, old) * oldExtra + heldCount(rank, added) * addedExtra)
+                if (duration > slowest) slowest = duration
+            }
         }
         return slowest
     }
--- a/core/src/test/kotlin/io/jaybeam/core/placement/PlacementTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/placement/PlacementTest.kt
@@ -101,4 +101,18 @@
             map = plan.map
         }
     }
+
+    @Property(tries = 100, seed = "20261205")
+    fun `a plan from a map with free slots has the skew that was predicted for its changes`(
+        @ForAll seed: Long,
+    ) {
+        // Each rank holds six experts; its two free slots are filled with its first expert.
+        val random = Random(seed)
+        val current = groupMapOf(List(12) { rank -> List(2) { (0 until 6).map { rank + 12 * it } } }, slotsPerRank = 8)
+        val load = LayerLoad(List(72) { random.nextDouble().pow(4) + 0.02 }, List(12) { 1.0 })
+        val steps = (1..6).map { moves -> PlacementSearch(current.sets.first(), load).improve(moves, targetSkew = 1.0) }
+        val slowest = listOf(current.sets.first()).plus(steps).map { passDurations(it, load).slowest }
+        slowest.zipWithNext { before, after -> assertTrue(after <= before + 1e-9, "$slowest") }
+        assertTrue(slowest.last() < slowest.first(), "$slowest")
+    }
 }
