--- a/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
+++ b/scenarios/src/test/kotlin/io/jaybeam/scenarios/BookingSteps.kt
@@ -23,10 +23,14 @@
 
     private val fleet get() = Site.fleet
     private val bookingByName = LinkedHashMap<String, Booking>()
+    private val sequentialReplies = mutableListOf<Reply>()
     private val caller = Caller()
 
     @Before
-    fun reset() = bookingByName.clear()
+    fun reset() {
+        bookingByName.clear()
+        sequentialReplies.clear()
+    }
 
     @When("the booking services answer after {int} ms")
     fun delayAnswers(millis: Int) = setFaults("""{"delayMillis": $millis}""")
@@ -34,6 +38,28 @@
     @When("the booking services answer 503 with Retry-After 0")
     fun answerUnavailable() = setFaults("""{"status": 503, "retryAfter": "0"}""")
 
+    @When("target {string} says in its answers that it leaves")
+    fun answerLeaving(instance: String) = fleet.setFaults(Site.target(instance).targetUrl, """{"isLeaving": true}""")
+
+    @When("target {string} answers 503 with Retry-After {int}")
+    fun answerPausing(instance: String, seconds: Int) =
+        fleet.setFaults(Site.target(instance).targetUrl, """{"status": 503, "retryAfter": "$seconds"}""")
+
+    @When("{int} bookings are sent one after the other through each entry")
+    fun sendOneAfterTheOther(count: Int) =
+        fleet.entries.indices.forEach { entry ->
+            repeat(count) { sequentialReplies += caller.book(Site.entry(entry + 1).url, CallOptions(bookingName = "b$entry-$it")) }
+        }
+
+    @Then("all but {int} of them are answered with status 200, and target {string} ran at most {int}")
+    fun assertAnsweredElsewhere(failures: Int, instance: String, runs: Int) {
+        val failed = sequentialReplies.filter { it !is Reply.Whole || it.status != 200 }
+        assertTrue(failed.size <= failures, "$failed")
+        val counts = checkNotNull(fleet.get("${Site.target(instance).targetUrl}/control/runs"))
+        val total = Regex(":(\\d+)").findAll(counts).sumOf { it.groupValues[1].toInt() }
+        assertTrue(total <= runs, "$instance ran $counts")
+    }
+
     @When("the booking services cut their answers after {int} bytes")
     fun cutAnswers(bytes: Int) = setFaults("""{"cutAfterBytes": $bytes}""")
 
--- a/scenarios/src/test/resources/features/leaving.feature
+++ b/scenarios/src/test/resources/features/leaving.feature
@@ -27,6 +27,18 @@
     Then after 3000 ms no new work reaches target "model-2" for 2000 ms
     And no streamed answer failed, and each was whole and its own
 
+  Scenario: A target that says in its answers that it leaves
+    Given a site with 2 entries, 0 model targets and 3 booking targets
+    And target "booking-1" says in its answers that it leaves
+    When 12 bookings are sent one after the other through each entry
+    Then all but 0 of them are answered with status 200, and target "booking-1" ran at most 1
+
+  Scenario: A target that turns a request away and asks for a pause
+    Given a site with 2 entries, 0 model targets and 3 booking targets
+    And target "booking-1" answers 503 with Retry-After 20
+    When 12 bookings are sent one after the other through each entry
+    Then all but 1 of them are answered with status 200, and target "booking-1" ran at most 1
+
   Scenario: A frozen entry that wakes with an old view gives a data centre that is out no work
     Given a site with 2 entries, 4 model targets and 0 booking targets
     When the process "entry-1" is frozen
--- a/standins/src/main/kotlin/io/jaybeam/standins/PlainServiceStandIn.kt
+++ b/standins/src/main/kotlin/io/jaybeam/standins/PlainServiceStandIn.kt
@@ -17,6 +17,7 @@
  * @property cutAfterBytes number of body bytes after which the connection is closed; negative to send complete answers.
  * @property status HTTP status of answers.
  * @property retryAfter value of the Retry-After header, or null to omit it.
+ * @property isLeaving whether answers state that the service leaves.
  */
 @Serializable
 internal data class ServiceFaults(
@@ -24,6 +25,7 @@
     val cutAfterBytes: Int = -1,
     val status: Int = 200,
     val retryAfter: String? = null,
+    val isLeaving: Boolean = false,
 )
 
 @Serializable
@@ -64,6 +66,7 @@
         if (activeFaults.delayMillis > 0) Thread.sleep(activeFaults.delayMillis)
         val body = """{"booking":"$booking","run":$count,"echo":"${context.body().length} bytes"}"""
         activeFaults.retryAfter?.let { context.header("Retry-After", it) }
+        if (activeFaults.isLeaving) context.header("Jaybeam-Leaving", "1")
         context.status(activeFaults.status)
         if (activeFaults.cutAfterBytes < 0) {
             context.contentType("application/json").result(body)
