A request whose caller left before it was read is not sent to a target

Cause shown by a test: a request may wait for a thread on an instance that is short of processor time; its caller leaves, and the entry noticed that only when the selector next read the connection, after the request had been sent. Change: the connection is read, without blocking, when watching it begins. Result: the test failed before (3 of 10 such requests were sent) and passes.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/WatchedConnection.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/WatchedConnection.kt
@@ -79,14 +79,14 @@
 
     /** Calls [onClosed] once if the caller closes the connection before [unwatch], or immediately if it is closed already. */
     fun watch(onClosed: () -> Unit) {
-        synchronized(lock) {
-            if (!isInputEnded) {
-                this.onClosed = onClosed
-                readIfIdle()
-                return
+        val isClosed =
+            synchronized(lock) {
+                // The caller may have left while its request waited for a thread, so the connection is read at once.
+                if (!isInputEnded && !isReadPending && !buffered.hasRemaining()) isInputEnded = !readIntoBuffer()
+                if (!isInputEnded) this.onClosed = onClosed
+                isInputEnded
             }
-        }
-        onClosed()
+        if (isClosed) onClosed()
     }
 
     /** Stops watching, as the request has been served; the pending read serves the next one. */
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/DirectEntryTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/DirectEntryTest.kt
@@ -182,6 +182,21 @@
         assertEquals(502, answer.status)
     }
 
+    @Test
+    fun `a request whose caller left before it was read is not sent to a target`() {
+        val target = scriptedTarget { request, out -> out.answer(request, "200 OK", "hold", "Response-Seal: s1") }
+        val (entry, ports) = newEntry(target)
+        repeat(10) {
+            val caller = connectCaller(ports.first())
+            caller.send("GET", "/safe/x")
+            caller.socket.close()
+        }
+        entry.start()
+        while (Caller(ports[1]).call("GET", "/v1/ready").status != 200) Thread.sleep(10)
+        Thread.sleep(500)
+        assertEquals(0, target.requests.size)
+    }
+
     @Test
     fun `a caller that connects while the entry starts is served`() {
         val target = scriptedTarget { request, out -> out.answer(request, "200 OK", "hold", "Response-Seal: s1") }
