--- a/review/kit/RankGroup.java
+++ b/review/kit/RankGroup.java
@@ -192,11 +192,15 @@
         return changes;
     }
 
-    /** Whether the next pass is held on a rank. */
-    synchronized boolean isHeld() {
+    private boolean isNextPassHeld() {
         return ranks.stream().anyMatch(rank -> rank.held == step + 1);
     }
 
+    /** Whether a rank holds a pass that has not begun. */
+    synchronized boolean hasHold() {
+        return ranks.stream().anyMatch(rank -> rank.held > step);
+    }
+
     synchronized String state() {
         StringBuilder text = new StringBuilder("step " + step + ", running " + running);
         for (Rank rank : ranks) {
@@ -223,7 +227,7 @@
             while (true) {
                 Thread.sleep(PASS_MILLIS);
                 synchronized (this) {
-                    if (running == 0 || isHeld()) continue;
+                    if (running == 0 || isNextPassHeld()) continue;
                     step++;
                     long versionBefore = ranks.get(0).version;
                     ranks.forEach(Rank::beginPass);
