--- a/review/kit/Store.java
+++ b/review/kit/Store.java
@@ -138,6 +138,11 @@
         return utf8("{\"generation\":" + group.generation + ",\"ttlMs\":" + numberField(body, "ttlMs") + ",\"parts\":" + parts + "}");
     }
 
+    /** Returns the generation of the group with this name. */
+    synchronized long generation(String name) {
+        return groups.computeIfAbsent(name, g -> new Group()).generation;
+    }
+
     private static void expireMembers(Group group, long now) {
         if (!group.members.values().removeIf(m -> m.expiresAtMillis < now)) return;
         group.generation++;
