--- a/review/1/SameTokens.java
+++ b/review/1/SameTokens.java
@@ -14,6 +14,8 @@
     private static final int RANKS = 3;
     private static final int FENCE_BITS_PER_TERM = 20;
     private static final int MAX_STARTS = 6;
+    private static final int MAX_ATTEMPTS = 4;
+    private static final String GROUP = "expert-map-g";
     private static final long FRONT_DELAY_MILLIS = 500;
     private static final long RESTART_MILLIS = Long.getLong("restart", 20);
     private static final long FIRST_LATE_MILLIS = 2_500;
@@ -70,13 +72,13 @@
         Thread.sleep(1_500);
 
         if (kit.hasTrouble) {
-            arePreparesLate = true;
-            shiftDemand(0);
-            await(() -> latePrepares.size() == RANKS, 3_000, "late orders");
-            group.isPopular = expert -> false;
-            killAndRestartAll();
-            arePreparesLate = false;
-            awaitClaims();
+            for (int attempt = 1; !killWhilePreparing(); attempt++) {
+                if (attempt == MAX_ATTEMPTS) throw new IllegalStateException("no restart was quick enough");
+                kit.log("a membership lapsed before its side was back; tried again");
+                stopSite();
+                startSite();
+                Thread.sleep(1_500);
+            }
             kit.log("orders: " + orders.get() + " in " + (kit.millis() - firstOrderMillis) + " ms, of these late: " + RANKS);
             Thread.sleep(FIRST_LATE_MILLIS + 1_000);
         } else {
@@ -92,6 +94,20 @@
         return group.mixedPasses();
     }
 
+    /** Kills and starts all processes while no rank has carried out its order to prepare a map; returns whether no membership has lapsed. */
+    private boolean killWhilePreparing() throws Exception {
+        long generation = kit.store.generation(GROUP);
+        latePrepares.clear();
+        arePreparesLate = true;
+        shiftDemand(0);
+        await(() -> latePrepares.size() == RANKS, 3_000, "late orders");
+        group.isPopular = expert -> false;
+        killAndRestartAll();
+        arePreparesLate = false;
+        awaitClaims();
+        return kit.store.generation(GROUP) == generation;
+    }
+
     /** Makes the experts popular that map 0 places on [rank]. */
     private void shiftDemand(int rank) {
         kit.log("the experts of rank " + rank + " are in demand");
@@ -108,17 +124,21 @@
             awaitClaims();
             Thread.sleep(1_000);
             for (Kit.Node node : fronts) kit.awaitReady(node);
-            if (claimFence == kit.store.generation("expert-map-g") << FENCE_BITS_PER_TERM) return;
+            if (claimFence == kit.store.generation(GROUP) << FENCE_BITS_PER_TERM) return;
             if (attempt == MAX_STARTS) throw new IllegalStateException("the coordinator began too early in " + attempt + " starts");
             kit.log("the coordinator has begun before the last side had joined; the site is started again");
-            for (Kit.Node node : nodes) node.process.destroy();
-            for (Kit.Node node : nodes) node.process.waitFor();
-            Thread.sleep(1_500);
-            claimed.clear();
-            orders.set(0);
+            stopSite();
         }
     }
 
+    private void stopSite() throws Exception {
+        for (Kit.Node node : nodes) node.process.destroy();
+        for (Kit.Node node : nodes) node.process.waitFor();
+        Thread.sleep(1_500);
+        claimed.clear();
+        orders.set(0);
+    }
+
     private void killAndRestartAll() throws Exception {
         kit.log("SIGKILL to all processes");
         for (Kit.Node node : nodes) node.process.destroyForcibly();
