A coordinator that restarts within a second has new fencing tokens (MAP, RECOVER)

Cause: the first fencing token was the generation of the group's membership. It does not change if a process is back before its registration expires, so the next coordinator counted the same tokens, and versions made of them, again: late orders of its earlier life were accepted. If ranks had seen later ones of these tokens, they refused the claim, and it did not begin again in that generation.

Change: a term takes a number from a counter in the store, which never repeats, and its tokens are made of the generation, this number and a count (FenceRange). A coordinator whose tokens are refused or used up takes the next number while the store names it.

--- a/core/src/main/kotlin/io/jaybeam/core/fleet/FleetStore.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/FleetStore.kt
@@ -55,7 +55,8 @@
  * Time for which the store names one process coordinator of a group.
  *
  * @property isCoordinator whether this process is the coordinator.
- * @property generation increases with each change of the group's membership; serves as the fencing token.
+ * @property generation increases with each change of the group's membership. A process that restarts before its registration expires
+ *   is named coordinator in the same generation as before.
  */
 public data class CoordinatorTerm(
     val isCoordinator: Boolean,
@@ -84,6 +85,13 @@
         lifetimeMillis: Long,
     ): Either<StoreFault, CoordinatorTerm>
 
+    /**
+     * Returns the next number of [counter], at least 1 and higher than all that any process has received from it.
+     *
+     * Numbers may be skipped, for example one whose answer was lost.
+     */
+    public fun nextNumber(counter: String): Either<StoreFault, Long>
+
     /** Returns the coordinator of [group], or null if there is none. */
     public fun coordinator(group: String): Either<StoreFault, HostPort?>
 }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/WarmUp.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/WarmUp.kt
@@ -136,5 +136,8 @@
         lifetimeMillis: Long,
     ): Either<StoreFault, CoordinatorTerm> = CoordinatorTerm(isCoordinator = false, generation = 1).right()
 
+    override fun nextNumber(counter: String): Either<StoreFault, Long> =
+        StoreFault.Refused("the store of the warm-up has no counters").left()
+
     override fun coordinator(group: String): Either<StoreFault, HostPort?> = null.right()
 }
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/observe/EventLog.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/observe/EventLog.kt
@@ -68,6 +68,7 @@
     RANK_ORDER(1506, Severity.INFO),
     RANK_UNREADABLE(1507, Severity.WARNING),
     COORDINATOR_LOAD(1508, Severity.INFO),
+    COORDINATOR_TERM(1509, Severity.INFO),
     REQUEST_ANSWERED(1601, Severity.INFO),
     REQUEST_REFUSED(1602, Severity.INFO),
     REQUEST_FAILED(1603, Severity.WARNING),
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
@@ -7,7 +7,9 @@
 import io.jaybeam.core.fleet.FleetStore
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.StoreFault
+import io.jaybeam.core.rankgroup.FenceRange
 import io.jaybeam.core.rankgroup.Lease
+import io.jaybeam.core.rankgroup.fenceRangeOrNull
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
@@ -24,6 +26,7 @@
 // frozen coordinator may leave the group with a held pass. A candidate joins three times within it.
 private const val CANDIDACY_LIFETIME_MILLIS = 1_000L
 private const val JOIN_INTERVAL_MILLIS = 300L
+private const val RESIGNATION_MILLIS = 2 * CANDIDACY_LIFETIME_MILLIS
 
 // The coordinator sends a frame at least every half second.
 private const val COORDINATOR_SILENCE_TIMEOUT_MILLIS = 800L
@@ -51,6 +54,9 @@
 ) : AutoCloseable {
     private var generation = 0L
     private var isCoordinator = false
+    private var fences: FenceRange? = null
+    private var fencesGeneration = 0L
+    private var isResigning = false
     private var isStoreUnreachable = false
     private var hasGenerationChanged = false
     private var searchDelayMillis = FIRST_SEARCH_DELAY_MILLIS
@@ -88,6 +94,7 @@
     }
 
     private fun nextDelayMillis(): Long {
+        if (isResigning) return RESIGNATION_MILLIS.also { isResigning = false }
         if (hasGenerationChanged) return REJOIN_DELAY_MILLIS
         val isLinked = link?.isOpen == true
         searchDelayMillis = if (isLinked) FIRST_SEARCH_DELAY_MILLIS else minOf(searchDelayMillis * 2, JOIN_INTERVAL_MILLIS)
@@ -112,12 +119,45 @@
                 isCoordinator = term.isCoordinator
                 generation = term.generation
                 if (isCoordinator) lease.renew(leaseStart) else lease.end()
-                coordinator.setTerm(CoordinatorMessage.Term(term.generation.takeIf { term.isCoordinator }))
+                if (isCoordinator) continueTerm(topic) else endTerm()
             },
         )
         if (link?.isOpen != true && !isConnecting) connect(topic)
     }
 
+    /**
+     * Lets this process coordinate, under new fencing tokens if it needs some.
+     *
+     * That is so when a rank has refused the last ones, when they are used up, and in a new generation, whose tokens are higher,
+     * unless the last ones are in use.
+     */
+    private fun continueTerm(topic: String) {
+        val current = fences
+        val isUsable = current != null && current != coordinator.spentFences
+        if (!isUsable || (fencesGeneration != generation && !coordinator.isCoordinating)) {
+            // Tokens of a generation that has passed are not begun with. While members come or go, the next join brings another one.
+            if (!coordinator.isCoordinating) coordinator.continueTerm(fences = null)
+            if (hasGenerationChanged) return
+            val number = store.nextNumber("$topic-terms-$generation").fold({ return onStoreFault(it) }, { it })
+            fences = fenceRangeOrNull(generation, number)
+            fencesGeneration = generation
+            // A new generation, which has tokens again, begins when this process's registration has expired.
+            isResigning = fences == null
+            events.write(
+                LogEvent.COORDINATOR_TERM,
+                LogField("generation", "$generation"),
+                LogField("number", "$number"),
+                LogField("firstFence", "${fences?.first}"),
+            )
+        }
+        coordinator.continueTerm(fences)
+    }
+
+    private fun endTerm() {
+        fences = null
+        coordinator.endTerm()
+    }
+
     /** Closes the link to a coordinator that sends nothing: a frozen coordinator keeps its links open. */
     private fun closeLinkIfSilent() {
         if (System.nanoTime() - lastFrameAtNanos < COORDINATOR_SILENCE_TIMEOUT_MILLIS * NANOS_PER_MILLI) return
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorMessage.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorMessage.kt
@@ -5,17 +5,21 @@
 
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.placement.GroupPlan
+import io.jaybeam.core.rankgroup.FenceRange
 import io.jaybeam.core.rankgroup.RankStatus
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.Link
 
 /** Message to a [CoordinatorWorker]. */
 internal sealed class CoordinatorMessage {
-    /** The [generation] of this process's term, or null while another process is the coordinator. */
+    /** This process is the coordinator; [fences] is null while it has no fencing tokens to begin with. */
     data class Term(
-        val generation: Long?,
+        val fences: FenceRange?,
     ) : CoordinatorMessage()
 
+    /** Another process is the coordinator. */
+    data object TermEnded : CoordinatorMessage()
+
     /** A report that the side of a rank sent over [link]. */
     data class Report(
         val link: Link,
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
@@ -20,6 +20,7 @@
 import io.jaybeam.core.placement.alignedTo
 import io.jaybeam.core.placement.groupMapOf
 import io.jaybeam.core.placement.planQuickestPlacement
+import io.jaybeam.core.rankgroup.FenceRange
 import io.jaybeam.core.rankgroup.FencedOrder
 import io.jaybeam.core.rankgroup.MapChangeCoordinator
 import io.jaybeam.core.rankgroup.MapPhase
@@ -55,9 +56,6 @@
 // Interval at which ranks with silent sides are read while a change waits for them.
 private const val DIRECT_READ_INTERVAL_MILLIS = 200L
 
-// Low bits of a fencing token that count the tokens of one term; each map change uses a few.
-private const val FENCE_BITS_PER_TERM = 20
-
 // Time that ranks may spend on loading experts in one change. After a shift of demand, passes are long until the new map is
 // in use, and even longer while weights are copied. Loading one expert per rank reduces the skew from 3.4 to 1.4, and the
 // next change reduces it further (`bench group` on the trace of one day).
@@ -128,9 +126,13 @@
     private val sentAtMillis = HashMap<SentOrder, Long>()
     private val remoteRanks = RemoteRankClient(store, settings.targetService, rankPortAt, ::mayCallRanks, events) { offer(it) }
     private val load = CoordinatorLoad(linkTotals, events)
-    private var generation: Long? = null
-    private var deposedGeneration = 0L
+    private var isTermRunning = false
+    private var fences: FenceRange? = null
     private var activeCoordinator: MapChangeCoordinator? = null
+        set(value) {
+            field = value
+            isCoordinating = value != null
+        }
     private var engineModel: EngineModel? = null
     private var isEngineModelMissed = false
     private var lastModelReadAtMillis = 0L
@@ -142,6 +144,16 @@
     private var lastPlanAtMillis = 0L
     private var startedAtMillis = 0L
 
+    /** Whether orders have been sent, or may be, under the fencing tokens of the present term. */
+    @Volatile
+    var isCoordinating = false
+        private set
+
+    /** The last fencing tokens that cannot be used any more: refused by a rank, or used up. */
+    @Volatile
+    var spentFences: FenceRange? = null
+        private set
+
     /** Whether the outcome of the last hold is unknown; the next one is then sent through the side of the rank that holds it. */
     private var isHoldOutcomeUnknown = false
     private var lastReadAtMillis = 0L
@@ -152,12 +164,11 @@
         remoteRanks.start()
     }
 
-    /**
-     * Sets this process's term.
-     *
-     * Blocks while the queue is full, because a coordinator that missed the end of its term would go on sending orders.
-     */
-    fun setTerm(term: CoordinatorMessage.Term) = worker.put(term)
+    /** Lets this process coordinate with [fences], once it has some. */
+    fun continueTerm(fences: FenceRange?) = worker.put(CoordinatorMessage.Term(fences))
+
+    /** Blocks while the queue is full, because a coordinator that missed the end of its term would go on sending orders. */
+    fun endTerm() = worker.put(CoordinatorMessage.TermEnded)
 
     /** Queues [message], or drops it and returns false if the queue is full. Dropping is safe as reports are repeated. */
     fun offer(message: CoordinatorMessage): Boolean = worker.offer(message)
@@ -187,7 +198,8 @@
 
     private fun onMessage(message: CoordinatorMessage) {
         when (message) {
-            is CoordinatorMessage.Term -> onTerm(message.generation)
+            is CoordinatorMessage.Term -> onTerm(message.fences)
+            is CoordinatorMessage.TermEnded -> onTermEnded()
             is CoordinatorMessage.Report -> onReport(message)
             is CoordinatorMessage.RemoteStatus -> onRemoteStatus(message)
             is CoordinatorMessage.Reply -> onReply(message.frame)
@@ -195,19 +207,23 @@
         }
     }
 
-    private fun onTerm(nextGeneration: Long?) {
-        generation = nextGeneration
-        if (nextGeneration == null) {
-            activeCoordinator = null
-            // Sides search for the new coordinator when their link to this one is closed.
-            peers.values.forEach { it.link?.close("another process coordinates the group") }
-            peers.clear()
-        }
+    private fun onTerm(grantedFences: FenceRange?) {
+        isTermRunning = true
+        if (activeCoordinator == null) fences = grantedFences
+    }
+
+    private fun onTermEnded() {
+        isTermRunning = false
+        fences = null
+        activeCoordinator = null
+        // Sides search for the new coordinator when their link to this one is closed.
+        peers.values.forEach { it.link?.close("another process coordinates the group") }
+        peers.clear()
     }
 
     private fun onReport(message: CoordinatorMessage.Report) {
         val report = message.frame
-        if (generation == null) return message.link.close("another process coordinates the group")
+        if (!isTermRunning) return message.link.close("another process coordinates the group")
         val rank = report.reading.rank
         val knownPeer = peers[rank]
         val experts =
@@ -221,14 +237,14 @@
     }
 
     private fun startCoordinating(report: Frame.RankReport) {
-        val currentGeneration = generation?.takeIf { it > deposedGeneration } ?: return
+        val usableFences = fences?.takeIf { it != spentFences } ?: return
         val coordinatorRank = localRank() ?: return
         activeCoordinator =
             MapChangeCoordinator(
                 report.groupSize,
                 holdRank = (coordinatorRank + 1) % report.groupSize,
                 coordinatorRank,
-                currentGeneration shl FENCE_BITS_PER_TERM,
+                usableFences.first,
             )
         readEngineModel()
         startedAtMillis = nowMillis()
@@ -303,7 +319,7 @@
 
     private fun onTick() {
         val now = nowMillis()
-        if (generation != null && now - lastHeartbeatAtMillis >= HEARTBEAT_INTERVAL_MILLIS / 2) {
+        if (isTermRunning && now - lastHeartbeatAtMillis >= HEARTBEAT_INTERVAL_MILLIS / 2) {
             lastHeartbeatAtMillis = now
             peers.values.forEach { it.link?.send(Frame.Heartbeat(0)) }
         }
@@ -339,8 +355,9 @@
         val coordinator = activeCoordinator ?: return
         coordinator.ordersDue(nowMillis()).forEach(::send)
         logPhase(coordinator)
-        if (coordinator.phase is MapPhase.Deposed) {
-            deposedGeneration = generation ?: 0
+        if (coordinator.phase is MapPhase.Deposed || coordinator.isSettled && fences?.isUsedUpAt(coordinator.fence) == true) {
+            // The store may still name this process, which then begins again under higher tokens.
+            spentFences = fences
             activeCoordinator = null
         } else if (coordinator.isSettled && !isPlanning) {
             requestPlan(coordinator)
--- a/side/src/test/kotlin/io/jaybeam/side/rank/EmulatedGroup.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/EmulatedGroup.kt
@@ -16,6 +16,7 @@
 import io.jaybeam.core.rankgroup.RankPort
 import io.jaybeam.core.rankgroup.RankReading
 import io.jaybeam.core.rankgroup.RankStatus
+import io.jaybeam.core.rankgroup.fenceRangeOrNull
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.FrameCodec
@@ -242,7 +243,7 @@
 
     fun start() {
         coordinator.start()
-        coordinator.setTerm(CoordinatorMessage.Term(GENERATION))
+        coordinator.continueTerm(fenceRangeOrNull(GENERATION, number = 1))
         agents.forEach {
             it.start()
             connect(it)
--- a/wire/src/main/kotlin/io/jaybeam/wire/Link.kt
+++ b/wire/src/main/kotlin/io/jaybeam/wire/Link.kt
@@ -27,6 +27,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
@@ -84,10 +85,15 @@
     private val dispatcher = executor.asCoroutineDispatcher()
     private val scope = CoroutineScope(dispatcher + SupervisorJob())
     private val selector = SelectorManager(dispatcher)
+    private val listeners = CopyOnWriteArrayList<ServerSocket>()
+
+    @Volatile
+    private var isClosed = false
 
     /** Listens on [host] and [port] and returns the bound port. Each accepted link gets a handler from [newHandler]. */
     public fun listen(host: String, port: Int, newHandler: () -> LinkHandler): Int {
         val server: ServerSocket = runBlocking { aSocket(selector).tcp().bind(host, port) { reuseAddress = true } }
+        listeners += server
         scope.launch {
             while (true) {
                 try {
@@ -95,6 +101,7 @@
                 } catch (e: CancellationException) {
                     throw e
                 } catch (e: Throwable) {
+                    if (isClosed) return@launch
                     onAcceptFailure(e)
                     // A lack of file descriptors lasts for some time.
                     delay(ACCEPT_RETRY_DELAY_MILLIS)
@@ -144,6 +151,8 @@
     }
 
     override fun close() {
+        isClosed = true
+        listeners.forEach { it.close() }
         scope.cancel()
         selector.close()
         executor.shutdown()
