Requests that crash targets after output are kept from targets too (BUDGET)

Callers saw: a request that crashes its target after the first event of its stream, and comes again, was sent to target after target; each crash ends the streams of a whole group.

Cause: output was taken for the proof that a request is sound. Attempts that had had output were not reported to the crash guard, and output of the next attempt would have cleared the blame.

CrashingRequestTest failed before the change: 24 crashes by 12 requests after the first event, 12 by 12 in the middle of a long answer, which is the same cause on a related path.

Change: an attempt that is cut after output blames the content of the request, which only a complete answer clears, and which is refused after three such crashes; the parts of its prompt are proven by the output. Entries tell each other how many crashes came after output.

In one run of CrashingRequestTest before the change another of its tests ended with "Port already in use": the fixture looks for a free port before it binds it.

--- a/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
@@ -3,8 +3,12 @@
  *
  * The targets of a group run in lock-step, so a crash ends the requests at all of them, and most of those are sound. Blame is
  * therefore narrow: only the requests that the crashed target had begun to answer and that had no output yet are blamed, and of
- * the parts of their prompts only those that no other request has shown to be sound. Output of a request shows that all its traits
- * are sound, until one of them is blamed again.
+ * the parts of their prompts only those that no other request has shown to be sound. Output of a request shows that the parts of
+ * its prompt are sound, until one of them is blamed again.
+ *
+ * Output does not show that the whole request is sound, as it may crash its target later; only a complete answer does. Of the requests
+ * that had output when their target crashed, only the content is blamed, and more crashes are needed to refuse it, because most of
+ * these requests are sound and their callers send them again.
  *
  * Blame may be wrong, as a target may crash for another reason in that moment. So a blamed trait is tried again, with one request
  * at a time; if that crashes its target too, requests with the trait are refused for [QUARANTINE_MILLIS]. After a long refusal, the
@@ -29,6 +33,9 @@
  */
 public const val UNPROVEN_TRIAL_DELAY_MILLIS: Long = 60_000L
 
+// A request that had output at each crash is refused after this many.
+private const val MAX_CRASHES_AFTER_OUTPUT = 3
+
 // Time before the trial of a request with several blamed parts; doubles with each crash.
 private const val JOINT_TRIAL_DELAY_MILLIS = 10_000L
 
@@ -63,6 +70,7 @@
  * @property crashes number of crashes for which it is blamed, each but the first after a trial.
  * @property lastCrashAgeMillis time from the last of them to the moment of sending.
  * @property isQuarantined whether a trial of it alone crashed a target.
+ * @property crashesAfterOutput the [crashes] before which the request had output.
  * @property jointParts other parts of the same prompts that may be the cause of all these crashes instead.
  */
 @Serializable
@@ -72,6 +80,7 @@
     val lastCrashAgeMillis: Long,
     val isQuarantined: Boolean = false,
     val jointParts: List<RequestTrait> = emptyList(),
+    val crashesAfterOutput: Int = 0,
 )
 
 /**
@@ -97,6 +106,7 @@
         val hasOutput: Boolean = false,
         val lastOutputMillis: Long = 0,
         val crashes: Int = 0,
+        val crashesAfterOutput: Int = 0,
         val lastCrashMillis: Long = 0,
         val isQuarantined: Boolean = false,
         val jointParts: List<RequestTrait> = emptyList(),
@@ -162,9 +172,12 @@
     public fun endTrial(traits: Collection<RequestTrait>): Unit =
         traits.forEach { trait -> if (trait in recordByTrait) update(trait) { it.copy(isOnTrial = false) } }
 
-    /** Records output of a request with [traits]; returns those that are not blamed any more because of it. */
+    /**
+     * Records that a request has shown [traits] to be sound, by output for the parts of its prompt and by a complete answer for its
+     * content; returns those that are not blamed any more because of it.
+     */
     @Synchronized
-    public fun onOutput(traits: Collection<RequestTrait>, nowMillis: Long): List<RequestTrait> {
+    public fun onShownSound(traits: Collection<RequestTrait>, nowMillis: Long): List<RequestTrait> {
         val cleared = traits.filter { recordByTrait[it]?.isBlamed == true }
         // Content is rarely repeated, so it is not kept unless it was blamed.
         val kept = traits.filter { it is RequestTrait.PromptPart || it in cleared }
@@ -191,13 +204,33 @@
         }
     }
 
+    /**
+     * Records that a request with [content], sent at [sentMillis], crashed its target after it had output; returns whether it is
+     * blamed for it.
+     */
+    @Synchronized
+    public fun onCrashAfterOutput(content: RequestTrait, sentMillis: Long, nowMillis: Long): Boolean {
+        val record = recordByTrait[content] ?: Record()
+        if (record.isBlamed && sentMillis <= record.lastCrashMillis) return false
+        update(content) {
+            it.copy(
+                crashes = it.crashes + 1,
+                crashesAfterOutput = it.crashesAfterOutput + 1,
+                lastCrashMillis = nowMillis,
+                isQuarantined = it.isQuarantined || it.crashes + 1 >= MAX_CRASHES_AFTER_OUTPUT,
+                turnDelayMillis = 0,
+            )
+        }
+        return true
+    }
+
     private fun Record.blamed(otherParts: List<RequestTrait>, nowMillis: Long): Record {
         // What explains all crashes of this trait must have been there at each of them.
         val commonParts = if (isBlamed) jointParts.intersect(otherParts.toSet()).toList() else otherParts
         return copy(
             crashes = crashes + 1,
             lastCrashMillis = nowMillis,
-            isQuarantined = isBlamed && commonParts.isEmpty(),
+            isQuarantined = crashes > crashesAfterOutput && commonParts.isEmpty() || (crashesAfterOutput > 0 && isQuarantined),
             jointParts = commonParts,
             turnDelayMillis = 0,
         )
@@ -207,7 +240,14 @@
     @Synchronized
     public fun blamedTraits(nowMillis: Long): List<BlamedTrait> =
         recordByTrait.filterValues { it.isBlamed }.map { (trait, record) ->
-            BlamedTrait(trait, record.crashes, nowMillis - record.lastCrashMillis, record.isQuarantined, record.jointParts)
+            BlamedTrait(
+                trait,
+                record.crashes,
+                nowMillis - record.lastCrashMillis,
+                record.isQuarantined,
+                record.jointParts,
+                record.crashesAfterOutput,
+            )
         }
 
     /** Takes over what another instance has [blamed], as far as this one does not know better. */
@@ -219,6 +259,7 @@
             update(other.trait) {
                 it.copy(
                     crashes = other.crashes,
+                    crashesAfterOutput = other.crashesAfterOutput,
                     lastCrashMillis = nowMillis - other.lastCrashAgeMillis,
                     isQuarantined = other.isQuarantined,
                     jointParts = other.jointParts,
@@ -237,10 +278,10 @@
         return other.crashes > record.crashes && !hasOutputSince
     }
 
-    /** Clears [traits], of which another instance has seen output; returns those that were blamed. */
+    /** Clears [traits], which another instance has seen to be sound; returns those that were blamed. */
     @Synchronized
-    public fun onOutputElsewhere(traits: Collection<RequestTrait>, nowMillis: Long): List<RequestTrait> =
-        onOutput(traits.filter { recordByTrait[it]?.isBlamed == true }, nowMillis)
+    public fun onShownSoundElsewhere(traits: Collection<RequestTrait>, nowMillis: Long): List<RequestTrait> =
+        onShownSound(traits.filter { recordByTrait[it]?.isBlamed == true }, nowMillis)
 
     private fun update(trait: RequestTrait, change: (Record) -> Record) {
         val previous = recordByTrait.remove(trait)
--- a/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
@@ -15,7 +15,7 @@
 
     @Test
     fun `a part that no target has answered is kept from targets after one crash, and its neighbours are not`() {
-        quarantine.onOutput(listOf(shared), 0)
+        quarantine.onShownSound(listOf(shared), 0)
         assertEquals(listOf(crashing, content(1)), quarantine.onCrash(listOf(shared, crashing, content(1)), 90, 100))
         assertEquals(QuarantineDecision.Admit, quarantine.admit(listOf(shared, content(2)), 101))
         val refusal = assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(shared, crashing, content(3)), 101))
@@ -31,7 +31,7 @@
         assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(crashing), later))
         quarantine.endTrial(trial.traits)
         assertIs<QuarantineDecision.Try>(quarantine.admit(listOf(crashing), later + 1))
-        assertEquals(listOf<RequestTrait>(crashing), quarantine.onOutput(listOf(crashing), later + 2))
+        assertEquals(listOf<RequestTrait>(crashing), quarantine.onShownSound(listOf(crashing), later + 2))
         assertEquals(QuarantineDecision.Admit, quarantine.admit(listOf(crashing), later + 3))
         assertTrue(quarantine.isEmpty)
     }
@@ -70,7 +70,7 @@
         quarantine.onCrash(listOf(shared, crashing), 0, 100)
         assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(shared, crashing), 101))
         assertIs<QuarantineDecision.Try>(quarantine.admit(listOf(shared), 101))
-        quarantine.onOutput(listOf(shared), 102)
+        quarantine.onShownSound(listOf(shared), 102)
         assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(shared, crashing), 103))
         val later = 100 + UNPROVEN_TRIAL_DELAY_MILLIS
         assertIs<QuarantineDecision.Try>(quarantine.admit(listOf(shared, crashing), later))
@@ -81,10 +81,10 @@
 
     @Test
     fun `a part that begins to crash targets after it was answered is quarantined`() {
-        quarantine.onOutput(listOf(shared, crashing), 0)
+        quarantine.onShownSound(listOf(shared, crashing), 0)
         quarantine.onCrash(listOf(shared, crashing), 50, 100)
         quarantine.admit(listOf(shared), 101)
-        quarantine.onOutput(listOf(shared), 102)
+        quarantine.onShownSound(listOf(shared), 102)
         quarantine.admit(listOf(shared, crashing), 103)
         quarantine.onCrash(listOf(shared, crashing), 103, 110)
         assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(crashing), 110 + QUARANTINE_MILLIS - 1))
@@ -107,7 +107,7 @@
         assertEquals(news, other.onBlamedElsewhere(news, 5_000).accepted)
         assertEquals(emptyList(), other.onBlamedElsewhere(news, 5_001).accepted)
         assertIs<QuarantineDecision.Refuse>(other.admit(listOf(crashing), 5_002))
-        assertEquals(listOf<RequestTrait>(crashing), other.onOutputElsewhere(listOf(crashing, shared), 5_003))
+        assertEquals(listOf<RequestTrait>(crashing), other.onShownSoundElsewhere(listOf(crashing, shared), 5_003))
         assertEquals(emptyList(), other.onBlamedElsewhere(quarantine.blamedTraits(120), 5_004).accepted)
         assertEquals(QuarantineDecision.Admit, other.admit(listOf(crashing), 5_005))
     }
@@ -116,12 +116,12 @@
     fun `an instance that has seen output of one of two blamed parts refutes the blame of that part`() {
         quarantine.onCrash(listOf(shared, crashing), 0, 100)
         val other = CrashQuarantine(capacity = 10)
-        other.onOutput(listOf(shared), 4_000)
+        other.onShownSound(listOf(shared), 4_000)
         val review = other.onBlamedElsewhere(quarantine.blamedTraits(110), 5_000)
         assertEquals(listOf<RequestTrait>(shared), review.refuted)
         assertEquals(listOf<RequestTrait>(crashing), review.accepted.map { it.trait })
         assertEquals(QuarantineDecision.Admit, other.admit(listOf(shared), 5_001))
-        quarantine.onOutputElsewhere(review.refuted, 120)
+        quarantine.onShownSoundElsewhere(review.refuted, 120)
         val refusal = assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(shared, crashing), 130))
         assertEquals(100 + UNPROVEN_TRIAL_DELAY_MILLIS - 130, refusal.retryAfterMillis)
     }
@@ -129,7 +129,7 @@
     @Test
     fun `a flood of new parts does not end a quarantine`() {
         quarantine.onCrash(listOf(crashing), 0, 100)
-        repeat(5_000) { quarantine.onOutput(listOf(RequestTrait.PromptPart("other-$it")), 200) }
+        repeat(5_000) { quarantine.onShownSound(listOf(RequestTrait.PromptPart("other-$it")), 200) }
         assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(crashing), 201))
     }
 
@@ -143,7 +143,7 @@
                 val decision = quarantine.admit(traits, nowMillis)
                 if (decision !is QuarantineDecision.Refuse) quarantine.onCrash(traits, nowMillis, nowMillis + 5)
                 if (decision is QuarantineDecision.Try) quarantine.endTrial(decision.traits)
-                quarantine.onOutput(listOf(shared), nowMillis + 10)
+                quarantine.onShownSound(listOf(shared), nowMillis + 10)
                 decision !is QuarantineDecision.Refuse
             }
         assertTrue(crashes < 4, "$crashes crashes")
@@ -151,7 +151,7 @@
 
     @Test
     fun `requests that were in flight at many crashes do not push out what is known of parts`() {
-        quarantine.onOutput(listOf(shared), 0)
+        quarantine.onShownSound(listOf(shared), 0)
         repeat(2_000) { quarantine.onCrash(listOf(content(it)), 10, 20) }
         quarantine.onCrash(listOf(crashing), 25, 30)
         repeat(2_000) { quarantine.onCrash(listOf(content(2_000 + it)), 35, 40) }
@@ -194,8 +194,8 @@
                 instance.onCrash(traits, nowMillis, nowMillis + 5)
                 tellAll(instances, instance.blamedTraits(nowMillis + 6), nowMillis + 6)
             } else {
-                val cleared = instance.onOutput(traits, nowMillis + 150)
-                instances.forEach { it.onOutputElsewhere(cleared, nowMillis + 151) }
+                val cleared = instance.onShownSound(traits, nowMillis + 150)
+                instances.forEach { it.onShownSoundElsewhere(cleared, nowMillis + 151) }
             }
             if (decision is QuarantineDecision.Try) instance.endTrial(decision.traits)
         }
@@ -205,6 +205,6 @@
 
     private fun tellAll(instances: List<CrashQuarantine>, blamed: List<BlamedTrait>, nowMillis: Long) {
         val refuted = instances.flatMap { it.onBlamedElsewhere(blamed, nowMillis).refuted }
-        instances.forEach { it.onOutputElsewhere(refuted, nowMillis + 1) }
+        instances.forEach { it.onShownSoundElsewhere(refuted, nowMillis + 1) }
     }
 }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
@@ -1,8 +1,8 @@
 /*
  * Keeps requests from targets if requests like them have crashed targets, and tells the other entries of such requests.
  *
- * A target has crashed if it ends a connection on which it had begun to answer, before any output, and then refuses connections. A
- * target that only lost one answer, or that cannot be reached, still listens or does not refuse.
+ * A target has crashed if it ends a connection on which it had not ended its answer, and then refuses connections. A target that only
+ * lost one answer, or that cannot be reached, still listens or does not refuse.
  */
 package io.jaybeam.entry.direct
 
@@ -38,6 +38,9 @@
 
     /** The head of its answer, but no output. */
     HEAD,
+
+    /** Output, but not the end of its answer. */
+    OUTPUT,
 }
 
 /** Checks whether a target accepts connections. */
@@ -103,30 +106,37 @@
         if (decision is QuarantineDecision.Try) quarantine.endTrial(decision.traits)
     }
 
-    /** Records output of [call], the first of an attempt. */
-    fun onOutput(call: DirectCall) {
-        val cleared = quarantine.onOutput(if (quarantine.isEmpty) call.promptParts else call.traits, nowMillis())
+    /** Records output of [call], the first of an attempt: its prompt has not crashed the target. */
+    fun onOutput(call: DirectCall) = clear(call.promptParts, "output of request ${call.caller.requestId}")
+
+    /** Records that a target has answered [call] completely. */
+    fun onAnswered(call: DirectCall) {
+        if (!quarantine.isEmpty) clear(listOf(call.content), "answer to request ${call.caller.requestId}")
+    }
+
+    private fun clear(traits: List<RequestTrait>, source: String) {
+        val cleared = quarantine.onShownSound(traits, nowMillis())
         if (cleared.isEmpty()) return
-        logCleared(cleared, "output of request ${call.caller.requestId}")
+        logCleared(cleared, source)
         publish(Frame.QuarantineNews(emptyList(), cleared))
     }
 
-    /** Records that [target] ended an attempt of [call], sent at [sentMillis], before any output; checks whether it has crashed. */
+    /** Records that [target] ended an attempt of [call], sent at [sentMillis], before the end of its answer; checks whether it has crashed. */
     fun onAttemptLost(
         call: DirectCall,
         target: FleetTarget,
         progress: AttemptProgress,
         sentMillis: Long,
     ) {
-        val traits =
-            when (progress) {
-                AttemptProgress.HEAD -> call.traits
-                // Most requests that a crashed target had not begun to answer are sound, but a repeated one may be the cause.
-                AttemptProgress.NOTHING -> listOf(call.content)
-            }
         if (!probe.isRefusing(target)) return
         val now = nowMillis()
-        val blamed = quarantine.onCrash(traits, sentMillis, now).toSet()
+        val blamed =
+            when (progress) {
+                AttemptProgress.HEAD -> quarantine.onCrash(call.traits, sentMillis, now)
+                // Most requests that a crashed target had not begun to answer are sound, but a repeated one may be the cause.
+                AttemptProgress.NOTHING -> quarantine.onCrash(listOf(call.content), sentMillis, now)
+                AttemptProgress.OUTPUT -> listOf(call.content).filter { quarantine.onCrashAfterOutput(it, sentMillis, now) }
+            }.toSet()
         if (blamed.isEmpty()) return
         val news = quarantine.blamedTraits(now).filter { it.trait in blamed }
         logBlamed(news, "crash of ${target.id} by request ${call.caller.requestId}")
@@ -137,7 +147,7 @@
     fun onNews(news: Frame.QuarantineNews, peer: String): Frame.QuarantineNews? {
         val now = nowMillis()
         val review = quarantine.onBlamedElsewhere(news.blamed.take(MAX_TRAITS_PER_FRAME), now)
-        val cleared = quarantine.onOutputElsewhere(news.cleared.take(MAX_TRAITS_PER_FRAME), now)
+        val cleared = quarantine.onShownSoundElsewhere(news.cleared.take(MAX_TRAITS_PER_FRAME), now)
         logBlamed(review.accepted, "peer $peer")
         logCleared(cleared, "peer $peer")
         if (review.refuted.isNotEmpty()) publish(Frame.QuarantineNews(emptyList(), review.refuted))
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -115,6 +115,9 @@
 
         /** Whether the current attempt has had output. */
         private var hasAttemptOutput = false
+
+        /** Whether the target ended the current attempt before the end of its answer. */
+        private var isAnswerBrokenOff = false
         private var lastEventNanos = 0L
 
         /** Whether the stream has had an event. */
@@ -161,29 +164,40 @@
             if (response.isCommitted) onStreamResumed(call, record, lastEventId ?: 0)
             loads.onRequestStart(target.id)
             hasAttemptOutput = false
+            isAnswerBrokenOff = false
             val sentMillis = System.nanoTime() / NANOS_PER_MILLI
             var hasFailed = true
             try {
                 val sendOutcome = sender.send(call, target, lastEventId, response)
                 val callOutcome = if (sendOutcome is SendOutcome.Answered) relay(target, sendOutcome) else null
                 hasFailed = callOutcome == null || callOutcome is CallOutcome.BrokenOff
-                if (callOutcome != null) return callOutcome
-                recordLostAttempt(target, sendOutcome, sentMillis)
-                return onSendFailure(sendOutcome, record)
+                if (hasFailed) recordLostAttempt(target, sendOutcome, sentMillis)
+                if (callOutcome is CallOutcome.Answered && callOutcome.status < HTTP_SERVER_ERROR) crashGuard.onAnswered(call)
+                return callOutcome ?: onSendFailure(sendOutcome, record)
             } finally {
                 loads.onRequestEnd(target.id, hasFailed)
             }
         }
 
         private fun recordLostAttempt(target: FleetTarget, outcome: SendOutcome, sentMillis: Long) {
-            if (hasAttemptOutput || response.isCallerGone) return
-            when (outcome) {
-                is SendOutcome.Answered -> crashGuard.onAttemptLost(call, target, AttemptProgress.HEAD, sentMillis)
-                is SendOutcome.Unknown -> crashGuard.onAttemptLost(call, target, AttemptProgress.NOTHING, sentMillis)
-                is SendOutcome.NotRun, is SendOutcome.Unsendable -> Unit
-            }
+            if (response.isCallerGone) return
+            val progress =
+                when (outcome) {
+                    is SendOutcome.Answered -> answerProgress() ?: return
+                    is SendOutcome.Unknown -> AttemptProgress.NOTHING
+                    is SendOutcome.NotRun, is SendOutcome.Unsendable -> return
+                }
+            crashGuard.onAttemptLost(call, target, progress, sentMillis)
         }
 
+        /** Returns how far the answer of the current attempt got; null if it did not break off. */
+        private fun answerProgress(): AttemptProgress? =
+            when {
+                !isAnswerBrokenOff -> null
+                hasAttemptOutput -> AttemptProgress.OUTPUT
+                else -> AttemptProgress.HEAD
+            }
+
         private fun recordOutput() {
             if (hasAttemptOutput) return
             hasAttemptOutput = true
@@ -216,6 +230,7 @@
                     relayed = RelayedAnswer(target.id, received.framing, response.framing)
                     if (isStream(received)) relayStream(received) else relayAnswer(received)
                 } catch (e: IOException) {
+                    isAnswerBrokenOff = true
                     outcome.call.cancel()
                     recordMayHaveRun("answer broke off: ${e.javaClass.simpleName}: ${e.message}")
                     null
@@ -277,6 +292,7 @@
                     try {
                         source.read(chunk)
                     } catch (e: IOException) {
+                        isAnswerBrokenOff = true
                         return CallOutcome.BrokenOff("answer broke off: ${e.message}")
                     }
                 if (count < 0) return CallOutcome.Answered(received.code)
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
@@ -8,6 +8,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.test.Test
@@ -15,6 +16,10 @@
 import kotlin.test.assertTrue
 
 private const val RESTART_MILLIS = 120L
+private const val EVENT_DELAY_MILLIS = 20L
+
+// One target crashes after the first event of its stream, and no other does later.
+private const val CRASH_ONCE_PATH = "/stream/once"
 private const val CRASHING_PART = "dead"
 
 // A target answers it with status 500 before it reads the prompt.
@@ -23,11 +28,20 @@
 // A target crashes after a head that says that the answer ends with the connection.
 private const val UNFRAMED_PATH = "/stream/unframed"
 
+// A target crashes after the first event of its stream.
+private const val LATE_CRASH_PATH = "/stream/late"
+
+// A target crashes in the middle of an answer that is too long to be read before it is relayed.
+private const val LONG_ANSWER_CRASH_PATH = "/safe/long"
+private const val LONG_ANSWER_BYTES = 200_000
+
 // The rule on crashing requests begins to count after this many crashes.
 private const val MAX_CRASHES = 5
 
 /** A target that ends as soon as it begins to answer a request with [CRASHING_PART] or the path /safe/crash, and starts again later. */
-private class CrashingTarget : AutoCloseable {
+private class CrashingTarget(
+    private val hasCrashedOnce: AtomicBoolean,
+) : AutoCloseable {
     private var server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
     private val sockets = CopyOnWriteArrayList<Socket>()
     val port = server.localPort
@@ -87,9 +101,24 @@
                 out.write("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n".encodeToByteArray())
                 return crash()
             }
+            if (path == LONG_ANSWER_CRASH_PATH) {
+                val head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\nContent-Length: $LONG_ANSWER_BYTES\r\n\r\n"
+                out.write(head.encodeToByteArray() + ByteArray(LONG_ANSWER_BYTES / 2))
+                return crash()
+            }
             out.startStream(ReceivedRequest(path, mapOf("request-id" to "r1"), socket), seal = "s")
             if (headers.any { it.startsWith("Prefix-Hash:") && CRASHING_PART in it }) return crash()
-            out.writeChunk("id: 0\ndata: a\n\n")
+            val lastEventId =
+                headers
+                    .firstOrNull { it.startsWith("Last-Event-Id:") }
+                    ?.substringAfter(':')
+                    ?.trim()
+                    ?.toLong() ?: -1
+            out.writeChunk("id: ${lastEventId + 1}\ndata: a\n\n")
+            if (path == LATE_CRASH_PATH || (path == CRASH_ONCE_PATH && !hasCrashedOnce.getAndSet(true))) {
+                Thread.sleep(EVENT_DELAY_MILLIS)
+                return crash()
+            }
             out.write("0\r\n\r\n".encodeToByteArray())
         }
     }
@@ -100,7 +129,8 @@
 }
 
 internal class CrashingRequestTest : EntryFixture() {
-    private val targets = List(4) { closedAfterTest(CrashingTarget()) }
+    private val hasCrashedOnce = AtomicBoolean()
+    private val targets = List(4) { closedAfterTest(CrashingTarget(hasCrashedOnce)) }
     private val crashes: Int get() = targets.sumOf { it.crashes.get() }
 
     private fun stream(
@@ -157,6 +187,37 @@
         assertEquals(200, connectCaller(ports[0]).call("GET", "/safe/other").status)
     }
 
+    // Guards against taking the first event of a stream for the proof that its request is sound (BUDGET).
+    @Test
+    fun `a repeated request that crashes targets after its first event does not crash one target after the other`() {
+        val ports = startLinkedEntries(targets.map { it.port })
+        repeat(12) { stream(ports[it % 2], "5e:40,1:9", "the same", LATE_CRASH_PATH) }
+        assertTrue(crashes < MAX_CRASHES, "$crashes crashes")
+        ports.forEach { assertEquals(200, stream(it, "5e:40,1:9", "another").status) }
+    }
+
+    // Guards against the same in answers that are relayed before they have been read completely (BUDGET).
+    @Test
+    fun `a repeated request that crashes targets in the middle of a long answer does not crash one target after the other`() {
+        val ports = startLinkedEntries(targets.map { it.port })
+        repeat(12) {
+            Thread.sleep(RESTART_MILLIS * 2)
+            connectCaller(ports[it % 2]).call("GET", LONG_ANSWER_CRASH_PATH)
+        }
+        assertTrue(crashes < MAX_CRASHES, "$crashes crashes")
+    }
+
+    @Test
+    fun `a stream that was in flight at a crash is served when it is repeated`() {
+        val ports = startLinkedEntries(targets.map { it.port })
+        repeat(6) {
+            val answer = stream(ports[it % 2], "5e:40,1:9", "the same", CRASH_ONCE_PATH)
+            assertEquals(200, answer.status)
+            assertTrue(answer.isComplete, "call $it")
+        }
+        assertEquals(1, crashes)
+    }
+
     @Test
     fun `a target that fails a request does not show that its prompt is sound`() {
         val ports = startLinkedEntries(targets.map { it.port })
