--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/EventStreamSplitter.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/EventStreamSplitter.kt
@@ -9,6 +9,7 @@
 
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
+private const val MAX_EVENT_BYTES = 256 * 1_024
 private const val ID_FIELD = "id:"
 private const val COMMENT_PREFIX = ":"
 
@@ -17,6 +18,9 @@
     lastEventId: Long,
 ) : IOException("the resumed stream does not continue after event $lastEventId")
 
+/** An event of a stream is not complete after as many bytes as one may have. */
+internal class EventTooLargeException : IOException("an event has more than $MAX_EVENT_BYTES bytes")
+
 /** Buffers the bytes of a stream and returns them as complete events. Not thread-safe. */
 internal class EventStreamSplitter {
     private var buffer = ByteArray(INITIAL_BUFFER_BYTES)
@@ -52,10 +56,13 @@
      * Adds the first [count] of [bytes] and returns the complete events in the buffer, or null if there is none.
      *
      * @throws EventOrderException if the stream was resumed and these events do not follow.
+     * @throws EventTooLargeException if an event does not end.
      */
     fun addAndTakeEvents(bytes: ByteArray, count: Int): ByteArray? {
+        val searchedSize = size
         append(bytes, count)
-        val endIndex = endOfLastEvent()
+        val endIndex = endOfLastEvent(searchedSize)
+        if (endIndex == 0 && size > MAX_EVENT_BYTES) throw EventTooLargeException()
         if (endIndex == 0) return null
         val events = buffer.copyOf(endIndex)
         val ids = idsIn(events)
@@ -75,9 +82,13 @@
         size += count
     }
 
-    /** Returns the index after the empty line that ends the last complete event, or 0 if there is no complete event. */
-    private fun endOfLastEvent(): Int {
-        for (index in size - 1 downTo 1) {
+    /**
+     * Returns the index after the empty line that ends the last complete event, or 0 if there is no complete event.
+     *
+     * Such a line does not end within the first [searchedSize] bytes.
+     */
+    private fun endOfLastEvent(searchedSize: Int): Int {
+        for (index in size - 1 downTo maxOf(searchedSize, 1)) {
             if (buffer[index] != LINE_FEED) continue
             val previous = if (buffer[index - 1] == CARRIAGE_RETURN) index - 2 else index - 1
             if (previous >= 0 && buffer[previous] == LINE_FEED) return index + 1
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -11,6 +11,8 @@
 import io.jaybeam.platform.targetHeaders
 import io.jaybeam.platform.withLastEventId
 import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.UNLIMITED_BODY
+import io.jaybeam.runtime.http.UnconnectedSocketFactory
 import io.jaybeam.runtime.http.endsWithConnection
 import io.jaybeam.runtime.http.singleAttemptClient
 import okhttp3.Call
@@ -89,10 +91,10 @@
     }
 
     private val client: OkHttpClient =
-        singleAttemptClient(HttpTimeouts(connectMillis = CONNECT_TIMEOUT_MILLIS, readMillis = 0), MAX_IDLE_CONNECTIONS)
+        singleAttemptClient(HttpTimeouts(connectMillis = CONNECT_TIMEOUT_MILLIS, readMillis = 0), MAX_IDLE_CONNECTIONS, UNLIMITED_BODY)
             .newBuilder()
             .eventListener(ProgressListener)
-            .socketFactory(TargetSocketFactory)
+            .socketFactory(UnconnectedSocketFactory(::TargetSocket))
             .addNetworkInterceptor { chain ->
                 val socket = chain.connection()?.socket() as? TargetSocket
                 socket?.onRequestStart()
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSocket.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSocket.kt
@@ -6,28 +6,20 @@
  */
 package io.jaybeam.entry.direct
 
-import java.io.FilterInputStream
+import io.jaybeam.runtime.http.BoundedSocket
 import java.io.IOException
-import java.io.InputStream
-import java.net.InetAddress
-import java.net.Socket
-import javax.net.SocketFactory
 
 /** The connection has bytes that belong to no request. No request was written. */
 internal class UnexpectedBytesException : IOException("the target sent bytes while no request was in progress")
 
 /** Socket of a connection to a target. */
-internal class TargetSocket : Socket() {
+internal class TargetSocket : BoundedSocket() {
     @Volatile
     private var isIdle = false
 
     @Volatile
     private var hasReadWhileIdle = false
 
-    private val input by lazy { RecordingStream(super.getInputStream()) }
-
-    override fun getInputStream(): InputStream = input
-
     /** Records that no request is in progress. */
     fun onIdle() {
         hasReadWhileIdle = false
@@ -40,41 +32,12 @@
      * @throws UnexpectedBytesException if the target has sent bytes since the connection became idle.
      */
     fun onRequestStart() {
-        if (isIdle && (hasReadWhileIdle || input.available() > 0)) throw UnexpectedBytesException()
+        if (isIdle && (hasReadWhileIdle || inputStream.available() > 0)) throw UnexpectedBytesException()
         isIdle = false
     }
 
-    private inner class RecordingStream(
-        stream: InputStream,
-    ) : FilterInputStream(stream) {
-        override fun read(): Int = super.read().also { if (isIdle && it >= 0) hasReadWhileIdle = true }
-
-        override fun read(bytes: ByteArray, offset: Int, length: Int): Int =
-            super.read(bytes, offset, length).also { if (isIdle && it > 0) hasReadWhileIdle = true }
+    override fun onRead(count: Int) {
+        if (isIdle && count > 0) hasReadWhileIdle = true
+        super.onRead(count)
     }
 }
-
-/** Creates the sockets of an HTTP client, which connects them by itself. */
-internal object TargetSocketFactory : SocketFactory() {
-    override fun createSocket(): Socket = TargetSocket()
-
-    override fun createSocket(host: String, port: Int): Socket = throw UnsupportedOperationException(CONNECTED_SOCKETS)
-
-    override fun createSocket(
-        host: String,
-        port: Int,
-        localHost: InetAddress,
-        localPort: Int,
-    ): Socket = throw UnsupportedOperationException(CONNECTED_SOCKETS)
-
-    override fun createSocket(host: InetAddress, port: Int): Socket = throw UnsupportedOperationException(CONNECTED_SOCKETS)
-
-    override fun createSocket(
-        address: InetAddress,
-        port: Int,
-        localAddress: InetAddress,
-        localPort: Int,
-    ): Socket = throw UnsupportedOperationException(CONNECTED_SOCKETS)
-
-    private const val CONNECTED_SOCKETS = "sockets are connected by the HTTP client; use createSocket()"
-}
--- /dev/null
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/BoundedAnswers.kt
@@ -0,0 +1,117 @@
+/*
+ * Bounds what one answer can make an HTTP client keep in memory.
+ *
+ * A faulty server may send bytes without end that never become a head, a chunk or a body. OkHttp limits the lines of a head, but it
+ * reads the line with the size of a chunk, and the one after it, up to their end. So the socket counts the bytes that are read for one
+ * step of an answer: its head, or the next bytes of its body. Clients that decode whole bodies limit these as well.
+ */
+package io.jaybeam.runtime.http
+
+import okhttp3.Interceptor
+import okhttp3.Response
+import okhttp3.ResponseBody.Companion.asResponseBody
+import okio.Buffer
+import okio.ForwardingSource
+import okio.Source
+import okio.buffer
+import java.io.FilterInputStream
+import java.io.IOException
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.Socket
+import javax.net.SocketFactory
+
+// OkHttp accepts 256 KiB of headers, and a step of a body yields 8 KiB.
+private const val MAX_STEP_BYTES = 320 * 1_024
+
+/** The server sent more bytes than an answer, or a step of it, may have. */
+public class AnswerTooLargeException(
+    message: String,
+) : IOException(message)
+
+/** A socket that fails if one step of an answer takes too many bytes. */
+public open class BoundedSocket : Socket() {
+    @Volatile
+    private var stepBytes = 0
+
+    private val input by lazy { CountingStream(super.getInputStream()) }
+
+    override fun getInputStream(): InputStream = input
+
+    /** Starts the next step of an answer. */
+    internal fun onStepStart() {
+        stepBytes = 0
+    }
+
+    /** Called with each [count] of bytes read; -1 at the end of the stream. */
+    protected open fun onRead(count: Int) {
+        if (count > 0) stepBytes += count
+        if (stepBytes > MAX_STEP_BYTES) throw AnswerTooLargeException("more than $MAX_STEP_BYTES bytes with neither a head nor a body")
+    }
+
+    private inner class CountingStream(
+        stream: InputStream,
+    ) : FilterInputStream(stream) {
+        override fun read(): Int = super.read().also { onRead(if (it < 0) it else 1) }
+
+        override fun read(bytes: ByteArray, offset: Int, length: Int): Int = super.read(bytes, offset, length).also(::onRead)
+    }
+}
+
+/** Creates sockets with [newSocket], which the HTTP client connects by itself. */
+public class UnconnectedSocketFactory(
+    private val newSocket: () -> Socket,
+) : SocketFactory() {
+    override fun createSocket(): Socket = newSocket()
+
+    override fun createSocket(host: String, port: Int): Socket = throw UnsupportedOperationException(CONNECTED_SOCKETS)
+
+    override fun createSocket(
+        host: String,
+        port: Int,
+        localHost: InetAddress,
+        localPort: Int,
+    ): Socket = throw UnsupportedOperationException(CONNECTED_SOCKETS)
+
+    override fun createSocket(host: InetAddress, port: Int): Socket = throw UnsupportedOperationException(CONNECTED_SOCKETS)
+
+    override fun createSocket(
+        address: InetAddress,
+        port: Int,
+        localAddress: InetAddress,
+        localPort: Int,
+    ): Socket = throw UnsupportedOperationException(CONNECTED_SOCKETS)
+
+    private companion object {
+        const val CONNECTED_SOCKETS = "sockets are connected by the HTTP client; use createSocket()"
+    }
+}
+
+/** Splits the reading of an answer into steps, and limits its body to [maxBodyBytes]. A network interceptor. */
+internal class AnswerLimit(
+    private val maxBodyBytes: Long,
+) : Interceptor {
+    override fun intercept(chain: Interceptor.Chain): Response {
+        val socket = chain.connection()?.socket() as? BoundedSocket
+        socket?.onStepStart()
+        val response = chain.proceed(chain.request())
+        val body = response.body
+        val limited = LimitedSource(body.source(), socket).buffer().asResponseBody(body.contentType(), body.contentLength())
+        return response.newBuilder().body(limited).build()
+    }
+
+    private inner class LimitedSource(
+        source: Source,
+        private val socket: BoundedSocket?,
+    ) : ForwardingSource(source) {
+        private var bodyBytes = 0L
+
+        override fun read(sink: Buffer, byteCount: Long): Long {
+            socket?.onStepStart()
+            val count = super.read(sink, byteCount)
+            if (count > 0) bodyBytes += count
+            if (bodyBytes > maxBodyBytes) throw AnswerTooLargeException("the body has more than $maxBodyBytes bytes")
+            return count
+        }
+    }
+}
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/http/SingleAttemptClient.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/SingleAttemptClient.kt
@@ -18,6 +18,12 @@
 private const val KEEP_ALIVE_SECONDS = 30L
 private const val MAX_CONCURRENT_CALLS = 4_096
 
+// Several pages of a store, or the map of a group of hundreds of ranks.
+private const val MAX_BODY_BYTES = 16L * 1_024 * 1_024
+
+/** Bodies of any length, for answers that are passed on while they are read. */
+public const val UNLIMITED_BODY: Long = Long.MAX_VALUE
+
 /** Timeouts of an HTTP client in milliseconds; 0 disables a timeout. */
 public data class HttpTimeouts(
     val connectMillis: Long = 1_000,
@@ -25,8 +31,17 @@
     val callMillis: Long = 0,
 )
 
-/** Returns a client that sends each request at most once and keeps up to [maxIdleConnections] idle connections open for reuse. */
-public fun singleAttemptClient(timeouts: HttpTimeouts, maxIdleConnections: Int = MAX_IDLE_CONNECTIONS): OkHttpClient =
+/**
+ * Returns a client that sends each request at most once and keeps up to [maxIdleConnections] idle connections open for reuse.
+ *
+ * Reading more than [maxBodyBytes] of an answer fails. A client whose callers do not read whole bodies into memory may set
+ * [UNLIMITED_BODY].
+ */
+public fun singleAttemptClient(
+    timeouts: HttpTimeouts,
+    maxIdleConnections: Int = MAX_IDLE_CONNECTIONS,
+    maxBodyBytes: Long = MAX_BODY_BYTES,
+): OkHttpClient =
     OkHttpClient
         .Builder()
         // All URLs are http. Without TLS, the client does not load the JVM's trust store, which takes 0.4 s.
@@ -35,6 +50,8 @@
         .followRedirects(false)
         .followSslRedirects(false)
         .addInterceptor(Interceptor { it.proceed(it.request()).renameHeader(HIDDEN_RETRY_AFTER, RETRY_AFTER) })
+        .socketFactory(UnconnectedSocketFactory(::BoundedSocket))
+        .addNetworkInterceptor(AnswerLimit(maxBodyBytes))
         .addNetworkInterceptor(Interceptor { it.proceed(it.request()).renameHeader(RETRY_AFTER, HIDDEN_RETRY_AFTER) })
         .connectionPool(ConnectionPool(maxIdleConnections, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
         .dispatcher(
--- a/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/TargetClient.kt
@@ -4,6 +4,7 @@
 package io.jaybeam.side
 
 import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.UNLIMITED_BODY
 import io.jaybeam.runtime.http.endsWithConnection
 import io.jaybeam.runtime.http.singleAttemptClient
 import io.jaybeam.wire.Frame
@@ -59,7 +60,7 @@
     private val baseUrl: String,
 ) {
     private val callClient =
-        singleAttemptClient(HttpTimeouts(readMillis = 0))
+        singleAttemptClient(HttpTimeouts(readMillis = 0), maxBodyBytes = UNLIMITED_BODY)
             .newBuilder()
             .eventListener(SendListener)
             .build()
