Split CoordinatorWorker and DirectForwarder

OrderSender sends orders and repeats them, EngineModelReader reads the engine model, MapPhaseLog logs phases, RankPeer is what is known of a rank. Of DirectForwarder, the answers as callers get them (BufferedAnswer), the recovery time of a group and writeToCaller have places of their own.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/CallOutcome.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CallOutcome.kt
@@ -4,6 +4,7 @@
 package io.jaybeam.entry.direct
 
 import io.jaybeam.entry.answer.AnswerFraming
+import java.io.IOException
 
 /** Outcome of a call. */
 internal sealed class CallOutcome {
@@ -55,3 +56,12 @@
     val hasEvents: Boolean = false,
     val failedTargetId: String? = null,
 )
+
+/** Returns the outcome of an answer with [status] that [write] passes on; any failure of it means that the caller closed its connection. */
+internal inline fun writeToCaller(status: Int, write: () -> Unit): CallOutcome =
+    try {
+        write()
+        CallOutcome.Answered(status)
+    } catch (e: IOException) {
+        CallOutcome.CallerGone
+    }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -12,19 +12,9 @@
 import io.jaybeam.core.quarantine.QuarantineDecision
 import io.jaybeam.core.routing.RetryBudget
 import io.jaybeam.entry.answer.AnswerFraming
-import io.jaybeam.platform.Header
-import io.jaybeam.platform.isForwardedToCaller
 import okhttp3.Response
 import okio.BufferedSource
 import java.io.IOException
-import kotlin.random.Random
-
-/** A short answer that was read completely before it is relayed, with the header that states its length. */
-private class BufferedAnswer(
-    val status: Int,
-    val headers: List<Header>,
-    val body: ByteArray,
-)
 
 /** Forwards calls. Thread-safe: each call has its own [CallExecution]. */
 internal class DirectForwarder(
@@ -249,27 +239,11 @@
             val isLong = source.request(BUFFERED_ANSWER_LIMIT_BYTES)
             // A target may fail a request before it reads the prompt, which shows nothing of the prompt.
             if (received.code < HTTP_SERVER_ERROR) recordOutput() else hasAttemptOutput = true
-            if (!isLong) return relayShort(bufferedAnswerOf(received, source.readByteArray()))
-            response.sendHead(received.code, headersOf(received, keepLength = true))
+            if (!isLong) return relayShort(bufferedAnswerOf(received, source.readByteArray(), isForHead = call.method == HEAD))
+            response.sendHead(received.code, headersForCaller(received, keepLength = true))
             return relayLong(source, received)
         }
 
-        private fun bufferedAnswerOf(received: Response, body: ByteArray): BufferedAnswer {
-            val lengthBytes = if (call.method == HEAD) statedLengthBytesOrNull(received) else body.size.toLong()
-            val lengthHeader = lengthBytes?.let { Header("Content-Length", "$it") }
-            return BufferedAnswer(received.code, headersOf(received, keepLength = false) + listOfNotNull(lengthHeader), body)
-        }
-
-        /** Returns the length that the body of [received] would have if the request were not HEAD; null if that is not stated. */
-        private fun statedLengthBytesOrNull(received: Response): Long? =
-            if (received.header("Transfer-Encoding") !=
-                null
-            ) {
-                null
-            } else {
-                received.header("Content-Length")?.toLongOrNull()?.takeIf { it >= 0 }
-            }
-
         private fun relayShort(answer: BufferedAnswer): CallOutcome? {
             if (answer.status >= HTTP_SERVER_ERROR && call.route.kind == RouteKind.IDEMPOTENT && failedAnswer == null) {
                 failedAnswer = answer
@@ -308,7 +282,8 @@
          */
         private fun relayStream(received: Response): CallOutcome? {
             if (!response.isCommitted) {
-                val outcome = writeToCaller(received.code) { response.sendHead(received.code, headersOf(received, keepLength = false)) }
+                val outcome =
+                    writeToCaller(received.code) { response.sendHead(received.code, headersForCaller(received, keepLength = false)) }
                 if (outcome is CallOutcome.CallerGone) return outcome
             }
             splitter.startAnswer()
@@ -340,22 +315,6 @@
             lastEventNanos = now
         }
 
-        /** Calls [write], in which any failure means that the caller closed its connection. */
-        private fun writeToCaller(status: Int, write: () -> Unit): CallOutcome =
-            try {
-                write()
-                CallOutcome.Answered(status)
-            } catch (e: IOException) {
-                CallOutcome.CallerGone
-            }
-
-        private fun headersOf(received: Response, keepLength: Boolean): List<Header> {
-            val forwarded = received.headers.filter { (name, _) -> isForwardedToCaller(name) }.map { (name, value) -> Header(name, value) }
-            // Chunks take precedence over a stated length, so the header alone does not tell the length of the body.
-            val lengthBytes = received.body.contentLength()
-            return if (keepLength && lengthBytes >= 0) forwarded + Header("Content-Length", "$lengthBytes") else forwarded
-        }
-
         private fun giveUp(refusal: Refusal): CallOutcome {
             if (response.isCallerGone) return CallOutcome.CallerGone
             if (response.isCommitted) return CallOutcome.BrokenOff("$refusal: $lastDetail")
@@ -371,7 +330,7 @@
         private fun retryAfterMillis(refusal: Refusal): Long? {
             if (refusal != Refusal.NOT_RUN && refusal != Refusal.NO_TARGET) return null
             val isGroupUnavailable = refusal == Refusal.NOT_RUN && call.route.kind == RouteKind.STREAM
-            val recoveryMillis = if (isGroupUnavailable) GROUP_RECOVERY_MILLIS + Random.nextLong(RETRY_JITTER_MILLIS) else null
+            val recoveryMillis = if (isGroupUnavailable) groupRecoveryMillis() else null
             return listOfNotNull(recoveryMillis, targets.retryAfterPauseMillis(call.service)).maxOrNull()
         }
 
@@ -382,12 +341,6 @@
     }
 }
 
-// A group that has lost a rank stalls for 1.5 s and takes another 0.6 s to form again, so an earlier retry fails.
-private const val GROUP_RECOVERY_MILLIS = 2_100L
-
-// Spreads the retries of callers. The total delay stays below a third of a deadline of 8 s, the longest that callers wait
-// before a retry.
-private const val RETRY_JITTER_MILLIS = 500L
 private const val HEAD = "HEAD"
 private const val HTTP_OK = 200
 private const val HTTP_SERVER_ERROR = 500
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
@@ -8,23 +8,18 @@
  */
 package io.jaybeam.side.rank
 
-import io.jaybeam.core.fleet.EngineModel
 import io.jaybeam.core.fleet.FleetStore
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.InstanceSettings
-import io.jaybeam.core.fleet.OperatorUpdate
 import io.jaybeam.core.placement.GroupDemand
 import io.jaybeam.core.placement.GroupMap
 import io.jaybeam.core.placement.GroupPlacementPolicy
-import io.jaybeam.core.placement.GroupPlan
 import io.jaybeam.core.placement.alignedTo
 import io.jaybeam.core.placement.groupMapOf
 import io.jaybeam.core.placement.planQuickestPlacement
 import io.jaybeam.core.rankgroup.FenceRange
-import io.jaybeam.core.rankgroup.FencedOrder
 import io.jaybeam.core.rankgroup.MapChangeCoordinator
 import io.jaybeam.core.rankgroup.MapPhase
-import io.jaybeam.core.rankgroup.OrderOutcome
 import io.jaybeam.core.rankgroup.OrderReply
 import io.jaybeam.core.rankgroup.RankPort
 import io.jaybeam.runtime.WorkerThread
@@ -32,7 +27,6 @@
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
 import io.jaybeam.wire.Frame
-import io.jaybeam.wire.FrameCodec
 import io.jaybeam.wire.HEARTBEAT_INTERVAL_MILLIS
 import io.jaybeam.wire.Link
 import io.jaybeam.wire.LinkHandler
@@ -47,12 +41,6 @@
 // with new.
 private const val DEMAND_WINDOW_MILLIS = 600L
 
-// An order is sent again after this time if it has not taken effect.
-private const val RESEND_INTERVAL_MILLIS = 500L
-
-// Interval at which the engine model is read again after the store has failed.
-private const val MODEL_READ_INTERVAL_MILLIS = 1_000L
-
 // Interval at which ranks with silent sides are read while a change waits for them.
 private const val DIRECT_READ_INTERVAL_MILLIS = 200L
 
@@ -61,9 +49,6 @@
 // next change reduces it further (`bench group` on the trace of one day).
 private const val MAX_EXPERT_LOAD_MILLIS = 110L
 
-// Digits and separators of an expert in the orders that go directly to a rank, which contain whole maps.
-private const val REMOTE_BYTES_PER_SLOT = 4
-
 // At this skew, passes are short enough for the accepted gap between events, so a change that reaches it need not load
 // more experts.
 private const val ACCEPTABLE_SKEW = 1.75
@@ -76,35 +61,6 @@
     val policy: GroupPlacementPolicy,
 )
 
-/** The experts of map [mapVersion] that a rank holds, by set. */
-private class HeldExperts(
-    val mapVersion: Long,
-    val sets: List<List<Int>>,
-)
-
-/**
- * Addresses and last known experts of a rank.
- *
- * @property address address of the rank itself.
- * @property link link to the rank's side; null if the side has not reported.
- * @property experts experts that the rank held when they were last known; null if they never were. A later map may be in use.
- * @property lastReportAtMillis time of the last report from the rank's side; 0 if there was none.
- * @property mapForm most compact form in which the side accepts maps.
- */
-private class RankPeer(
-    val address: HostPort,
-    val link: Link?,
-    val experts: HeldExperts?,
-    val lastReportAtMillis: Long,
-    val mapForm: MapForm,
-)
-
-/** Identifies a sent order; [isRemote] orders go directly to the rank, others through its side. */
-private data class SentOrder(
-    val order: FencedOrder,
-    val isRemote: Boolean,
-)
-
 /** Runs a [MapChangeCoordinator] for the ranks of a group, on one thread for coordination and one for planning. */
 internal class CoordinatorWorker(
     private val store: FleetStore,
@@ -121,11 +77,11 @@
     private val planner = WorkerThread<PlanRequest>("planner", 1, PLANNER_TICK_INTERVAL_MILLIS, events, ::plan) {}
     private val demandWindow = DemandWindow(DEMAND_WINDOW_MILLIS)
     private val peers = HashMap<Int, RankPeer>()
-    private val sentMaps = SentMaps()
-    private val mapBudget = SendBudget(nowMillis)
-    private val sentAtMillis = HashMap<SentOrder, Long>()
     private val remoteRanks = RemoteRankClient(store, settings.targetService, rankPortAt, ::mayCallRanks, events) { offer(it) }
     private val load = CoordinatorLoad(linkTotals, events)
+    private val phaseLog = MapPhaseLog(events)
+    private val engineModel = EngineModelReader(store, settings.targetService, events)
+    private val orders = OrderSender(remoteRanks, ::mayCallRanks, load, nowMillis)
     private var isTermRunning = false
     private var fences: FenceRange? = null
     private var activeCoordinator: MapChangeCoordinator? = null
@@ -133,13 +89,9 @@
             field = value
             isCoordinating = value != null
         }
-    private var engineModel: EngineModel? = null
-    private var isEngineModelMissed = false
-    private var lastModelReadAtMillis = 0L
     private var proposedMap: GroupMap? = null
     private var proposedMapVersion = 0L
     private var isPlanning = false
-    private var loggedPhase: String = ""
     private var lastHeartbeatAtMillis = 0L
     private var lastPlanAtMillis = 0L
     private var startedAtMillis = 0L
@@ -154,8 +106,6 @@
     var spentFences: FenceRange? = null
         private set
 
-    /** Whether the outcome of the last hold is unknown; the next one is then sent through the side of the rank that holds it. */
-    private var isHoldOutcomeUnknown = false
     private var lastReadAtMillis = 0L
 
     fun start() {
@@ -246,11 +196,16 @@
                 coordinatorRank,
                 usableFences.first,
             )
-        readEngineModel()
+        engineModel.read(nowMillis())
+        updateReportLag()
         startedAtMillis = nowMillis()
         demandWindow.clear()
     }
 
+    private fun updateReportLag() {
+        remoteRanks.reportLagMillis = engineModel.model?.reportLagMillis ?: 0
+    }
+
     private fun onRemoteStatus(message: CoordinatorMessage.RemoteStatus) {
         val coordinator = activeCoordinator ?: return
         // A service may have several groups, whose ranks have the same numbers.
@@ -264,37 +219,8 @@
         advance()
     }
 
-    /** Reads the engine model. It is read again on a later tick if the store fails. */
-    private fun readEngineModel() {
-        lastModelReadAtMillis = nowMillis()
-        isEngineModelMissed = false
-        engineModel =
-            store.readLatestOperatorUpdates().fold(
-                { fault ->
-                    events.write(LogEvent.STORE_LOST, LogField("follower", "coordinator"), LogField("detail", fault.detail))
-                    isEngineModelMissed = true
-                    null
-                },
-                { logPage ->
-                    val config =
-                        logPage.updates
-                            .filterIsInstance<OperatorUpdate.Published>()
-                            .maxByOrNull { it.config.version }
-                            ?.config
-                    config?.services?.firstOrNull { it.name == settings.targetService }?.engine
-                },
-            )
-        remoteRanks.reportLagMillis = engineModel?.reportLagMillis ?: 0
-    }
-
     private fun onReply(frame: Frame.RankReply) {
-        if (frame.order is FencedOrder.Hold) isHoldOutcomeUnknown = frame.outcome == OrderOutcome.UNKNOWN
-        // An accepted order may take effect later, so it is sent again only after the resend interval.
-        if (frame.outcome != OrderOutcome.ACCEPTED) {
-            sentAtMillis.remove(SentOrder(frame.order, isRemote = true))
-            sentAtMillis.remove(SentOrder(frame.order, isRemote = false))
-        }
-        if (frame.outcome != OrderOutcome.UNKNOWN) load.onOrderAnswered(frame.order, nowMillis())
+        orders.onReply(frame)
         val coordinator = activeCoordinator ?: return
         coordinator.onReply(OrderReply(frame.order, frame.outcome, frame.reading))
         advance()
@@ -324,8 +250,7 @@
             peers.values.forEach { it.link?.send(Frame.Heartbeat(0)) }
         }
         if (activeCoordinator != null) load.logIfDue(worker.backlog, now)
-        val isModelReadDue = isEngineModelMissed && now - lastModelReadAtMillis >= MODEL_READ_INTERVAL_MILLIS
-        if (activeCoordinator != null && isModelReadDue) readEngineModel()
+        if (activeCoordinator != null && engineModel.readAgainIfDue(now)) updateReportLag()
         readSilentRanks(now)
         advance()
     }
@@ -353,8 +278,10 @@
     /** Sends the orders that are due, and requests a plan if the group is settled. */
     private fun advance() {
         val coordinator = activeCoordinator ?: return
-        coordinator.ordersDue(nowMillis()).forEach(::send)
-        logPhase(coordinator)
+        coordinator.ordersDue(nowMillis()).forEach { order ->
+            peers[order.rank]?.let { peer -> orders.send(order, peer, isSilent(peer), proposedMap) }
+        }
+        phaseLog.logIfChanged(coordinator)
         if (coordinator.phase is MapPhase.Deposed || coordinator.isSettled && fences?.isUsedUpAt(coordinator.fence) == true) {
             // The store may still name this process, which then begins again under higher tokens.
             spentFences = fences
@@ -364,39 +291,10 @@
         }
     }
 
-    private fun send(order: FencedOrder) {
-        val peer = peers[order.rank] ?: return
-        // The instance that sends a hold may freeze while the pass is held. The hold is sent from here instead of through the
-        // side of the rank that holds the pass, so that this instance is at risk and not that rank's.
-        val isDirectPreferred = (order is FencedOrder.Hold && !isHoldOutcomeUnknown) || isSilent(peer)
-        val key = SentOrder(order, isRemote = isDirectPreferred && mayCallRanks())
-        val lastSentAtMillis = sentAtMillis[key]
-        if (lastSentAtMillis != null && nowMillis() - lastSentAtMillis < RESEND_INTERVAL_MILLIS) return
-        // Sent with one of the next calls, as the order stays due.
-        if (order is FencedOrder.Prepare && !mapBudget.hasRoom()) return
-        sentAtMillis[key] = nowMillis()
-        load.onOrderSent(order, nowMillis())
-        val map = proposedMap.takeIf { order is FencedOrder.Prepare }
-        if (key.isRemote) {
-            remoteRanks.sendOrder(peer.address, order, map)
-            if (map != null) mapBudget.spend(map.sets.sumOf { it.expertBySlot.size } * REMOTE_BYTES_PER_SLOT)
-        } else {
-            sendThroughSide(peer, order, map)
-        }
-    }
-
     private fun mayCallRanks() = settings.limits.isFencingRequired || isLeaseValid()
 
-    private fun sendThroughSide(peer: RankPeer, order: FencedOrder, map: GroupMap?) {
-        val link = peer.link ?: return
-        val isWithMap = order is FencedOrder.Prepare && map != null
-        val frame = if (isWithMap) sentMaps.orderFrame(link, order, map, peer.mapForm) else Frame.RankOrder(order, map = null)
-        link.send(frame)
-        if (isWithMap) mapBudget.spend(FrameCodec.encode(frame).size)
-    }
-
     private fun requestPlan(coordinator: MapChangeCoordinator) {
-        val model = engineModel ?: return
+        val model = engineModel.model ?: return
         val mapVersion = coordinator.mapVersion ?: return
         recordExpertsOfNewMap(mapVersion)
         val experts =
@@ -406,9 +304,8 @@
         val demand = demandWindow.demand(model.expertSets, nowMillis()) ?: return
         if (nowMillis() - lastPlanAtMillis < PLAN_INTERVAL_MILLIS) return
         lastPlanAtMillis = nowMillis()
-        sentAtMillis.clear()
         load.onChangeOver()
-        sentMaps.dropClosedLinks()
+        orders.onChangeOver()
         val policy = GroupPlacementPolicy(model.newExpertsPerChange, model.expertsLoadedIn(MAX_EXPERT_LOAD_MILLIS), MIN_SKEW, TARGET_SKEW)
         isPlanning = planner.offer(PlanRequest(groupMapOf(experts, model.slotsPerRank), demand, policy))
     }
@@ -430,25 +327,6 @@
         offer(CoordinatorMessage.PlanResult(plan, nowMillis() - planStartedAtMillis))
     }
 
-    private fun logPhase(coordinator: MapChangeCoordinator) {
-        val name = coordinator.phase::class.simpleName.orEmpty()
-        if (name == loggedPhase) return
-        loggedPhase = name
-        val lastPass = coordinator.lastReadings.values.maxOfOrNull { it.lastPass }
-        val map =
-            coordinator.lastReadings.values
-                .map { it.mapVersion }
-                .distinct()
-                .joinToString("/")
-        events.write(
-            LogEvent.MAP_PHASE,
-            LogField("phase", "${coordinator.phase}"),
-            LogField("fence", "${coordinator.fence}"),
-            LogField("lastPass", "$lastPass"),
-            LogField("map", map),
-        )
-    }
-
     private companion object {
         const val PLANNER_TICK_INTERVAL_MILLIS = 1_000L
 
