Blame for crashes does not go round between entries, and a quick trial counts

Seen: one run of CrashingRequestTest failed with 5 crashes where 4 are allowed, and its log had 565 TRAIT_BLAMED lines of one request.

Cause: blame that was on its way when its trait was cleared looked like that of a later crash, as its age does not count the way, and each entry passed it on. The trial of a resumed stream that was sent in the millisecond of the crash was not counted as one.

Change: blame with no more crashes than were known when the trait was cleared is not taken over within 5 s of that; the millisecond of the crash counts as after it. Two tests in CrashQuarantineTest, written with the change.

--- a/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
@@ -43,6 +43,9 @@
 private const val MIN_TURN_DELAY_MILLIS = 5_000L
 private const val MAX_TURN_DELAY_MILLIS = 60_000L
 
+// Time after which no instance passes on blame that it received before the trait was cleared.
+private const val ECHO_MILLIS = 5_000L
+
 // Time in which a trial has usually ended.
 private const val TRIAL_RETRY_AFTER_MILLIS = 1_000L
 private const val MAX_DELAY_DOUBLINGS = 6
@@ -112,6 +115,8 @@
         val jointParts: List<RequestTrait> = emptyList(),
         val isOnTrial: Boolean = false,
         val turnDelayMillis: Long = 0,
+        val clearedCrashes: Int = 0,
+        val clearedMillis: Long = 0,
     ) {
         val isBlamed: Boolean get() = crashes > 0
         val isProven: Boolean get() = hasOutput && !isBlamed
@@ -181,10 +186,18 @@
         val cleared = traits.filter { recordByTrait[it]?.isBlamed == true }
         // Content is rarely repeated, so it is not kept unless it was blamed.
         val kept = traits.filter { it is RequestTrait.PromptPart || it in cleared }
-        kept.forEach { update(it) { Record(hasOutput = true, lastOutputMillis = nowMillis) } }
+        kept.forEach { trait -> update(trait) { it.shownSound(nowMillis) } }
         return cleared
     }
 
+    private fun Record.shownSound(nowMillis: Long) =
+        Record(
+            hasOutput = true,
+            lastOutputMillis = nowMillis,
+            clearedCrashes = if (isBlamed) crashes else clearedCrashes,
+            clearedMillis = if (isBlamed) nowMillis else clearedMillis,
+        )
+
     /**
      * Records that a request with [traits], sent at [sentMillis], crashed its target before it had output; returns the traits that
      * are blamed for it.
@@ -211,7 +224,8 @@
     @Synchronized
     public fun onCrashAfterOutput(content: RequestTrait, sentMillis: Long, nowMillis: Long): Boolean {
         val record = recordByTrait[content] ?: Record()
-        if (record.isBlamed && sentMillis <= record.lastCrashMillis) return false
+        // A resumed stream may be sent in the same millisecond.
+        if (record.isBlamed && sentMillis < record.lastCrashMillis) return false
         update(content) {
             it.copy(
                 crashes = it.crashes + 1,
@@ -274,6 +288,9 @@
 
     private fun isNews(other: BlamedTrait, nowMillis: Long): Boolean {
         val record = recordByTrait[other.trait] ?: return true
+        // Blame that was on its way when the trait was cleared would go round between instances for ever.
+        val isEcho = other.crashes <= record.clearedCrashes && nowMillis - record.clearedMillis < ECHO_MILLIS
+        if (isEcho) return false
         val hasOutputSince = record.hasOutput && record.lastOutputMillis >= nowMillis - other.lastCrashAgeMillis
         return other.crashes > record.crashes && !hasOutputSince
     }
--- a/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/quarantine/CrashQuarantineTest.kt
@@ -207,4 +207,32 @@
         val refuted = instances.flatMap { it.onBlamedElsewhere(blamed, nowMillis).refuted }
         instances.forEach { it.onShownSoundElsewhere(refuted, nowMillis + 1) }
     }
+
+    // Guards against blame that goes round between instances without end after the trait was cleared.
+    @Test
+    fun `blame that arrives after it was cleared is not taken over again`() {
+        val other = CrashQuarantine(capacity = 1_000)
+        other.onCrashAfterOutput(content(1), 50, 100)
+        val blame = other.blamedTraits(100)
+        assertEquals(blame, quarantine.onBlamedElsewhere(blame, 100).accepted)
+        assertEquals(listOf<RequestTrait>(content(1)), quarantine.onShownSoundElsewhere(listOf(content(1)), 101))
+        assertEquals(emptyList(), quarantine.onBlamedElsewhere(blame, 102).accepted)
+        other.onCrashAfterOutput(content(1), 150, 200)
+        assertEquals(1, quarantine.onBlamedElsewhere(other.blamedTraits(200), 201).accepted.size)
+    }
+
+    @Test
+    fun `a request that had output at each crash is refused after three of them, and a complete answer clears it`() {
+        quarantine.onCrashAfterOutput(content(1), 0, 100)
+        assertIs<QuarantineDecision.Try>(quarantine.admit(listOf(content(1)), 100))
+        quarantine.endTrial(listOf(content(1)))
+        // The trial was sent in the millisecond of the crash.
+        quarantine.onCrashAfterOutput(content(1), 100, 120)
+        assertIs<QuarantineDecision.Try>(quarantine.admit(listOf(content(1)), 120))
+        quarantine.endTrial(listOf(content(1)))
+        quarantine.onCrashAfterOutput(content(1), 120, 140)
+        assertIs<QuarantineDecision.Refuse>(quarantine.admit(listOf(content(1)), 141))
+        quarantine.onShownSound(listOf(content(1)), 142)
+        assertTrue(quarantine.isEmpty)
+    }
 }
