--- a/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/quarantine/CrashQuarantine.kt
@@ -241,10 +241,11 @@
     private fun Record.blamed(otherParts: List<RequestTrait>, nowMillis: Long): Record {
         // What explains all crashes of this trait must have been there at each of them.
         val commonParts = if (isBlamed) jointParts.intersect(otherParts.toSet()).toList() else otherParts
+        val hasCrashedBeforeOutput = crashes > crashesAfterOutput
         return copy(
             crashes = crashes + 1,
             lastCrashMillis = nowMillis,
-            isQuarantined = crashes > crashesAfterOutput && commonParts.isEmpty() || (crashesAfterOutput > 0 && isQuarantined),
+            isQuarantined = (hasCrashedBeforeOutput && commonParts.isEmpty()) || (crashesAfterOutput > 0 && isQuarantined),
             jointParts = commonParts,
             turnDelayMillis = 0,
         )
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CrashGuard.kt
@@ -121,7 +121,7 @@
         publish(Frame.QuarantineNews(emptyList(), cleared))
     }
 
-    /** Records that [target] ended an attempt of [call], sent at [sentMillis], before the end of its answer; checks whether it has crashed. */
+    /** Records that [target] cut an attempt of [call], sent at [sentMillis], before the end of its answer; checks whether it crashed. */
     fun onAttemptLost(
         call: DirectCall,
         target: FleetTarget,
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -180,10 +180,12 @@
             crashGuard.onAttemptLost(call, target, progress, sentMillis)
         }
 
-        /** Returns how far the answer of the current attempt got; null if it did not break off. */
+        /** Returns how far the answer of the current attempt got; null if its target did not end it. */
         private fun answerProgress(): AttemptProgress? =
             when {
                 !isAnswerBrokenOff -> null
+                // The time limit of the request ended the answer, and not its target.
+                hasAttemptOutput && call.remainingMillis(System.nanoTime()) <= 0 -> null
                 hasAttemptOutput -> AttemptProgress.OUTPUT
                 else -> AttemptProgress.HEAD
             }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
@@ -97,13 +97,9 @@
                 out.write("HTTP/1.1 500 Internal Server Error\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n".encodeToByteArray())
                 continue
             }
-            if (path == UNFRAMED_PATH) {
-                out.write("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n".encodeToByteArray())
-                return crash()
-            }
-            if (path == LONG_ANSWER_CRASH_PATH) {
-                val head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\nContent-Length: $LONG_ANSWER_BYTES\r\n\r\n"
-                out.write(head.encodeToByteArray() + ByteArray(LONG_ANSWER_BYTES / 2))
+            val cutAnswer = cutAnswerByPath[path]
+            if (cutAnswer != null) {
+                out.write(cutAnswer)
                 return crash()
             }
             out.startStream(ReceivedRequest(path, mapOf("request-id" to "r1"), socket), seal = "s")
@@ -125,6 +121,15 @@
 
     private companion object {
         const val BACKLOG = 50
+        const val HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+
+        /** What a target sends before it crashes. */
+        val cutAnswerByPath =
+            mapOf(
+                UNFRAMED_PATH to "${HEAD}Content-Type: text/event-stream\r\n\r\n".encodeToByteArray(),
+                LONG_ANSWER_CRASH_PATH to
+                    "${HEAD}Content-Length: $LONG_ANSWER_BYTES\r\n\r\n".encodeToByteArray() + ByteArray(LONG_ANSWER_BYTES / 2),
+            )
     }
 }
 
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorWorker.kt
@@ -63,7 +63,7 @@
 
 /** Runs a [MapChangeCoordinator] for the ranks of a group, on one thread for coordination and one for planning. */
 internal class CoordinatorWorker(
-    private val store: FleetStore,
+    store: FleetStore,
     private val settings: InstanceSettings,
     private val localRank: () -> Int?,
     private val localGroup: () -> String?,
