--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
@@ -121,14 +121,14 @@
 
     private companion object {
         const val BACKLOG = 50
-        const val HEAD = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n"
+        const val HEAD = "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n"
 
         /** What a target sends before it crashes. */
         val cutAnswerByPath =
             mapOf(
                 UNFRAMED_PATH to "${HEAD}Content-Type: text/event-stream\r\n\r\n".encodeToByteArray(),
                 LONG_ANSWER_CRASH_PATH to
-                    "${HEAD}Content-Length: $LONG_ANSWER_BYTES\r\n\r\n".encodeToByteArray() + ByteArray(LONG_ANSWER_BYTES / 2),
+                    "${HEAD}Request-Id: r1\r\nContent-Length: $LONG_ANSWER_BYTES\r\n\r\n".encodeToByteArray() + ByteArray(LONG_ANSWER_BYTES / 2),
             )
     }
 }
