--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/CrashingRequestTest.kt
@@ -128,7 +128,8 @@
             mapOf(
                 UNFRAMED_PATH to "${HEAD}Content-Type: text/event-stream\r\n\r\n".encodeToByteArray(),
                 LONG_ANSWER_CRASH_PATH to
-                    "${HEAD}Request-Id: r1\r\nContent-Length: $LONG_ANSWER_BYTES\r\n\r\n".encodeToByteArray() + ByteArray(LONG_ANSWER_BYTES / 2),
+                    "${HEAD}Request-Id: r1\r\nContent-Length: $LONG_ANSWER_BYTES\r\n\r\n".encodeToByteArray() +
+                    ByteArray(LONG_ANSWER_BYTES / 2),
             )
     }
 }
