A map change holds a later pass when orders to ranks go unanswered

Cause: the pass to switch at was due 30 ms after it was held, and arming a group while a tenth of the orders is unanswered takes several timeouts, for which the group stood still. Change: the share of unanswered orders is counted per change (UnansweredOrders), preparing included; the lead covers the timeouts that all but one change in 20 need, up to 500 ms. Without unanswered orders it is 30 ms as before.

--- a/core/src/main/kotlin/io/jaybeam/core/rankgroup/MapChangeCoordinator.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/rankgroup/MapChangeCoordinator.kt
@@ -13,6 +13,10 @@
  * the coordinator's rank is not armed and cannot become armed. A new coordinator that reaches all ranks except that one
  * and finds one of them not armed can safely disarm the ranks that it reaches and release the pass. The version of a map
  * encodes the rank of the coordinator that issued it.
+ *
+ * Where a share of the orders goes unanswered, arming takes several rounds. Preparing asks every rank before anything is held
+ * and shows that share, and the pass to switch at is then chosen so much later that unanswered orders can be repeated before it
+ * is due ([UnansweredOrders]). Nothing else depends on how late the pass is: it is held and released as before.
  */
 package io.jaybeam.core.rankgroup
 
@@ -20,11 +24,16 @@
  * Timing of a map change.
  *
  * @property leadTimeMillis time that holding, arming and releasing take; a map is armed for a pass that begins later than this.
+ * @property repeatMillis time after which an order that goes unanswered has been repeated and answered.
+ * @property maxLeadTimeMillis longest lead time that is chosen when orders go unanswered. A map that comes later than this is late
+ *   for a demand that shifts every few seconds.
  * @property prepareTimeoutMillis time after which a change is abandoned if a rank has not loaded its weights.
- * @property armTimeoutMillis time after which a change is abandoned if the pass is not held or a rank is not armed.
+ * @property armTimeoutMillis least time after which a change is abandoned if the pass is not held or a rank is not armed.
  */
 public data class MapChangeTiming(
     val leadTimeMillis: Long = 30,
+    val repeatMillis: Long = 60,
+    val maxLeadTimeMillis: Long = 500,
     val prepareTimeoutMillis: Long = 6_000,
     val armTimeoutMillis: Long = 600,
 )
@@ -45,6 +54,7 @@
 ) {
     private val readings = HashMap<Int, RankReading>()
     private val passStartPredictor = PassStartPredictor()
+    private val unansweredOrders = UnansweredOrders()
 
     /** Fencing token of the next order. */
     public var fence: Long = firstFence
@@ -60,6 +70,16 @@
     /** Map version in use on all ranks, or null if it is unknown or a change is in progress. */
     public val mapVersion: Long? get() = if (isSettled) readings.getValue(0).mapVersion else null
 
+    /** Share of the orders of the present change and the last one whose first sending went unanswered. */
+    public val unansweredShare: Double get() = unansweredOrders.share
+
+    /** Time from the choice of the pass at which the map changes to its predicted beginning, at the present [unansweredShare]. */
+    public val leadTimeMillis: Long
+        get() {
+            val repeatsMillis = repeatsExpected(unansweredShare, size) * timing.repeatMillis
+            return (timing.leadTimeMillis + repeatsMillis).coerceAtMost(maxOf(timing.maxLeadTimeMillis, timing.leadTimeMillis))
+        }
+
     /** Last reading of each rank, by rank; ranks that have not been read are absent. */
     public val lastReadings: Map<Int, RankReading> get() = readings
 
@@ -74,6 +94,7 @@
         fence += 1
         val version = fence * MAX_RANKS + coordinatorRank
         phase = MapPhase.Preparing(version, nowMillis)
+        unansweredOrders.onChange()
         return version
     }
 
@@ -94,6 +115,7 @@
             return
         }
         if (reply.order.epoch != readings[reply.order.rank]?.epoch) return
+        unansweredOrders.onOutcome(reply.order, reply.outcome)
         when (reply.order) {
             is FencedOrder.Claim, is FencedOrder.Disarm -> if (reply.isAnswered) recordAnswer(reply.order)
             is FencedOrder.Prepare -> if (reply.outcome == OrderOutcome.CONFLICT && phase is MapPhase.Preparing) phase = MapPhase.Settled
@@ -156,7 +178,8 @@
     private fun advancePreparing(current: MapPhase.Preparing, nowMillis: Long) {
         if (readings.values.all { it.preparedVersion == current.version }) {
             val pass =
-                readings.values.maxOf { it.lastPass } + passStartPredictor.passesBeginningWithin(timing.leadTimeMillis, nowMillis) + 1
+                readings.values.maxOf { it.lastPass } + passStartPredictor.passesBeginningWithin(timing.leadTimeMillis, nowMillis) + 1 +
+                    passStartPredictor.passesLasting(leadTimeMillis - timing.leadTimeMillis)
             phase = MapPhase.Holding(current.version, pass, nowMillis)
         } else if (nowMillis - current.sinceMillis > timing.prepareTimeoutMillis) {
             phase = MapPhase.Settled
@@ -166,7 +189,7 @@
     private fun advanceHolding(current: MapPhase.Holding, nowMillis: Long) {
         when {
             readings.getValue(holdRank).heldPass == current.pass -> phase = MapPhase.Arming(current.version, current.pass, nowMillis)
-            nowMillis - current.sinceMillis > timing.armTimeoutMillis -> startUndoing()
+            nowMillis - current.sinceMillis > armTimeoutMillis() -> startUndoing()
         }
     }
 
@@ -174,10 +197,13 @@
         val armedMap = ArmedMap(current.version, current.pass)
         when {
             readings.values.all { it.armed == armedMap } -> phase = MapPhase.Releasing(current.version, current.pass)
-            nowMillis - current.sinceMillis > timing.armTimeoutMillis -> startUndoing()
+            nowMillis - current.sinceMillis > armTimeoutMillis() -> startUndoing()
         }
     }
 
+    /** Undoing a change takes as many orders as completing it, so a few more repeats than expected are awaited. */
+    private fun armTimeoutMillis() = maxOf(timing.armTimeoutMillis, leadTimeMillis + EXCESS_REPEATS * timing.repeatMillis)
+
     private fun startUndoing() {
         fence += 1
         phase = MapPhase.Undoing()
@@ -279,6 +305,9 @@
 
 private const val MAX_ADVANCES_PER_CALL = 8
 
+// More repeats than these, beyond those expected, mean that a rank does not answer at all.
+private const val EXCESS_REPEATS = 2
+
 // A version is the fencing token times this number, plus the rank of the coordinator that issued it.
 private const val MAX_RANKS = 1_024
 
--- a/core/src/main/kotlin/io/jaybeam/core/rankgroup/PassStartPredictor.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/rankgroup/PassStartPredictor.kt
@@ -8,9 +8,11 @@
     private var lastPass = 0L
     private var lastPassAtMillis = 0L
     private var passDurationMillis = 0.0
+    private val passRateMeter = PassRateMeter()
 
     /** Records that [pass] is the last pass known to have begun. */
     fun onPass(pass: Long, nowMillis: Long) {
+        passRateMeter.onPass(pass, nowMillis)
         if (pass == lastPass) return
         val isContinuous = pass in lastPass + 1..lastPass + MAX_PASS_GAP
         passDurationMillis = if (isContinuous) (nowMillis - lastPassAtMillis).toDouble() / (pass - lastPass) else 0.0
@@ -26,8 +28,17 @@
         return (1 + (periodMillis - maxOf(untilNextMillis, 0.0)) / passDurationMillis).toLong().coerceAtMost(MAX_SKIPPED_PASSES)
     }
 
+    /** Returns how many passes last [periodMillis] or longer together, at the mean duration of recent passes. */
+    fun passesLasting(periodMillis: Long): Long {
+        val meanMillis = passRateMeter.passMillis() ?: return 0
+        return ((periodMillis + meanMillis - 1) / meanMillis).coerceAtMost(MAX_PASSES_LASTING)
+    }
+
     private companion object {
         const val MAX_PASS_GAP = 50L
         const val MAX_SKIPPED_PASSES = 6L
+
+        // Bounds the error of a pass duration that was measured too short.
+        const val MAX_PASSES_LASTING = 24L
     }
 }
--- a/core/src/test/kotlin/io/jaybeam/core/rankgroup/MapChangeCoordinatorPropertiesTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/rankgroup/MapChangeCoordinatorPropertiesTest.kt
@@ -11,6 +11,9 @@
 private const val STEPS = 1_500
 private const val FAULT_FREE_STEPS = 3_000
 
+// With this, a change is armed for a pass that begins up to two seconds later, after many steps of the simulation.
+private val LONG_LEAD_TIMING = MapChangeTiming(repeatMillis = 500, maxLeadTimeMillis = 2_000, armTimeoutMillis = 3_000)
+
 // What happens to an order, by random number: 0 to 5 it is carried out, 6 and 7 it is carried out later, 8 it is carried
 // out at once and again later, and the reply is lost, 9 the order is lost.
 private const val LOST_ORDER = 9
@@ -98,6 +101,7 @@
 /** Simulates a group, its coordinators and the network between them, driven by [random]. */
 private class MapChangeSimulation(
     private val random: Random,
+    private val timing: MapChangeTiming = MapChangeTiming(),
 ) {
     val group = SimulatedGroup()
     private var nextGeneration = 1L
@@ -135,7 +139,8 @@
 
     private fun coordinator(): MapChangeCoordinator {
         val coordinatorRank = random.nextInt(RANKS)
-        return MapChangeCoordinator(RANKS, holdRank = (coordinatorRank + 1) % RANKS, coordinatorRank, firstFence = nextGeneration++ shl 20)
+        val holdRank = (coordinatorRank + 1) % RANKS
+        return MapChangeCoordinator(RANKS, holdRank, coordinatorRank, firstFence = nextGeneration++ shl 20, timing)
     }
 
     private fun isReachable(rank: Int) = rank != unreachableRank
@@ -204,6 +209,27 @@
         assertEquals(emptyList(), simulation.group.mapVersionsByPass.filter { it.size > 1 })
     }
 
+    @Property(tries = 2000, seed = "20261206")
+    fun `no pass begins while ranks have different maps if the pass that changes them is chosen long before`(
+        @ForAll seed: Long,
+    ) {
+        val simulation = MapChangeSimulation(Random(seed), LONG_LEAD_TIMING)
+        repeat(STEPS) { simulation.step(isFaultFree = false) }
+        assertEquals(emptyList(), simulation.group.mapVersionsByPass.filter { it.size > 1 })
+    }
+
+    @Property(tries = 100, seed = "20261206")
+    fun `a group changes maps again when faults end if the pass that changes them is chosen long before`(
+        @ForAll seed: Long,
+    ) {
+        val simulation = MapChangeSimulation(Random(seed), LONG_LEAD_TIMING)
+        repeat(STEPS) { simulation.step(isFaultFree = false) }
+        val mapVersionsBefore = simulation.group.mapVersionsByPass.toSet()
+        repeat(FAULT_FREE_STEPS) { simulation.step(isFaultFree = true) }
+        val mapVersionsAfter = simulation.group.mapVersionsByPass.toSet()
+        assertTrue(mapVersionsAfter.size > mapVersionsBefore.size, "no new map was used after the faults ended")
+    }
+
     @Property(tries = 100, seed = "20261204")
     fun `a group runs passes and changes maps again when faults end`(
         @ForAll seed: Long,
