Sides know sooner that the local rank left an order unanswered

Cause: each unanswered order that arms, disarms or releases cost 150 ms, and an unanswered hold was reported 300 ms after that. Change: 50 ms at the rank's own side for orders without a map; a hold without answer is reported at once, and after 50 ms it is also sent through the side of its rank. MAP_PHASE shows unansweredShare and leadMillis. Failed with the timeout of before: 151 ms, bound 60 ms. HoldOrderTest failed with OrderSender and RemoteRankClient of before: expected [0, 0, 1, 1] but was [0, 0, 0, 0]; no reply.

--- a/side/src/main/kotlin/io/jaybeam/side/rank/MapPhaseLog.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/MapPhaseLog.kt
@@ -31,6 +31,8 @@
             LogField("fence", "${coordinator.fence}"),
             LogField("lastPass", "$lastPass"),
             LogField("map", map),
+            LogField("unansweredShare", "%.3f".format(coordinator.unansweredShare)),
+            LogField("leadMillis", "${coordinator.leadTimeMillis}"),
         )
     }
 }
--- a/side/src/main/kotlin/io/jaybeam/side/rank/OrderSender.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/OrderSender.kt
@@ -12,6 +12,10 @@
 // An order is sent again after this time if it has not taken effect.
 private const val RESEND_INTERVAL_MILLIS = 500L
 
+// A hold that is sent directly is normally answered within a few milliseconds. If it is not, it is also sent through the side
+// of its rank, which the rank treats as one hold, because the pass to be held comes nearer.
+private const val DIRECT_HOLD_ANSWER_MILLIS = 50L
+
 // Digits and separators of an expert in the orders that go directly to a rank, which contain whole maps.
 private const val REMOTE_BYTES_PER_SLOT = 4
 
@@ -44,7 +48,7 @@
     ) {
         // The instance that sends a hold may freeze while the pass is held. The hold is sent from here instead of through the
         // side of the rank that holds the pass, so that this instance is at risk and not that rank's.
-        val isDirectPreferred = (order is FencedOrder.Hold && !isHoldOutcomeUnknown) || isSilent
+        val isDirectPreferred = (order is FencedOrder.Hold && !isHoldOutcomeUnknown && !isDirectHoldUnanswered(order)) || isSilent
         val key = SentOrder(order, isRemote = isDirectPreferred && mayCallRanks())
         val lastSentAtMillis = sentAtMillis[key]
         if (lastSentAtMillis != null && nowMillis() - lastSentAtMillis < RESEND_INTERVAL_MILLIS) return
@@ -61,6 +65,11 @@
         }
     }
 
+    private fun isDirectHoldUnanswered(order: FencedOrder.Hold): Boolean {
+        val sentDirectlyAtMillis = sentAtMillis[SentOrder(order, isRemote = true)] ?: return false
+        return nowMillis() - sentDirectlyAtMillis >= DIRECT_HOLD_ANSWER_MILLIS
+    }
+
     private fun sendThroughSide(peer: RankPeer, order: FencedOrder, map: GroupMap?) {
         val link = peer.link ?: return
         val isWithMap = order is FencedOrder.Prepare && map != null
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RankSideProcess.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RankSideProcess.kt
@@ -9,6 +9,7 @@
 import io.jaybeam.core.fleet.InstanceSettings
 import io.jaybeam.core.rankgroup.RankPort
 import io.jaybeam.platform.httpRankPort
+import io.jaybeam.platform.localHttpRankPort
 import io.jaybeam.platform.platformStore
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
@@ -21,7 +22,7 @@
 /** Creates the side process that [settings] describe. */
 internal fun rankSideProcess(settings: InstanceSettings): ServingProcess {
     val target = checkNotNull(settings.targetAddress) { "settings contain no target address; start a side process only beside a target" }
-    return RankSideProcess(settings, platformStore(settings.storeAddress), httpRankPort(target), Clock.System, ::httpRankPort)
+    return RankSideProcess(settings, platformStore(settings.storeAddress), localHttpRankPort(target), Clock.System, ::httpRankPort)
 }
 
 /** The side process of [rank]; [rankPortAt] returns a client of the rank at an address. */
--- a/side/src/main/kotlin/io/jaybeam/side/rank/RemoteRankClient.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/RemoteRankClient.kt
@@ -117,9 +117,13 @@
         val outcome = cachedPort(call.address).sendOrder(call.order, call.map)
         val tookMillis = (System.nanoTime() - sentAtNanos) / NANOS_PER_MILLI
         logOrder(call, outcome.name, tookMillis)
-        // Acceptance is reported immediately. The state of the rank after the order is reported later, once it can be read.
-        if (outcome == OrderOutcome.ACCEPTED) onResult(CoordinatorMessage.Reply(Frame.RankReply(call.order, outcome, null)))
-        if (call.order is FencedOrder.Hold && outcome == OrderOutcome.ACCEPTED) return
+        // Acceptance is reported immediately, and so is a hold without answer, which is then sent through its side. The state of the
+        // rank after the order is reported later, once it can be read.
+        val isUnansweredHold = call.order is FencedOrder.Hold && outcome == OrderOutcome.UNKNOWN
+        if (outcome == OrderOutcome.ACCEPTED || isUnansweredHold) {
+            onResult(CoordinatorMessage.Reply(Frame.RankReply(call.order, outcome, null)))
+        }
+        if (call.order is FencedOrder.Hold && outcome == OrderOutcome.ACCEPTED || isUnansweredHold) return
         val readAtNanos = System.nanoTime() + (reportLagMillis + REPORT_LAG_MARGIN_MILLIS) * NANOS_PER_MILLI
         unreadOrders += UnreadOrder(call, outcome, readAtNanos)
     }
