Unread prompts delay the predicted first event

Cause: StreamLoad.unreadMillis was never set, so a stream behind large prompts that were sent, not read, was taken for one in time. Change: StreamQueue adds the reading time of started streams without an event; StartedStream tells it once about the first event and the end with the same arrival, also for a stream that is started again or whose caller left. The queue hands its forecast to next().

--- a/core/src/test/kotlin/io/jaybeam/core/admission/LastMomentsTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/admission/LastMomentsTest.kt
@@ -12,17 +12,21 @@
     private val room = WaitingRoom<String>(capacity = 256)
     private val forecast = StartForecast(delayMillis = 0, startIntervalMillis = 100.0, firstEventMillis = 50)
 
-    private fun offer(name: String, urgency: Int, arrivedAtMillis: Long, onTimeMillis: Long) =
-        WaitingRequest(
-            value = name,
-            urgency = Urgency(urgency),
-            organisation = "org",
-            session = null,
-            cost = RequestCost(1.0, 100.0, 0.0),
-            arrivedAtMillis = arrivedAtMillis,
-            startOnTimeUntilMillis = arrivedAtMillis + onTimeMillis,
-            deadlineMillis = arrivedAtMillis + 2_000,
-        ).also { room.offer(it, arrivedAtMillis) }
+    private fun offer(
+        name: String,
+        urgency: Int,
+        arrivedAtMillis: Long,
+        onTimeMillis: Long,
+    ) = WaitingRequest(
+        value = name,
+        urgency = Urgency(urgency),
+        organisation = "org",
+        session = null,
+        cost = RequestCost(1.0, 100.0, 0.0),
+        arrivedAtMillis = arrivedAtMillis,
+        startOnTimeUntilMillis = arrivedAtMillis + onTimeMillis,
+        deadlineMillis = arrivedAtMillis + 2_000,
+    ).also { room.offer(it, arrivedAtMillis) }
 
     private fun next(nowMillis: Long) = room.next(nowMillis, { forecast })?.value
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/CallExecution.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CallExecution.kt
@@ -35,7 +35,7 @@
     private var gateGroup: String? = null
 
     /** Queue of the current run; null if the call does not wait for capacity. */
-    private var streamQueue: StreamQueue? = null
+    private var stream: StartedStream? = null
     private val isRankGroup = parts.recovery.isRankGroup(call.service)
 
     private var relayed: RelayedAnswer? = null
@@ -78,11 +78,11 @@
 
     /**
      * Sends the call to targets, those of [group] first, and returns how it ended; null if it has to wait at a gate before the next run.
-     * [streamQueue] is null if the call does not wait for capacity.
+     * [stream] is null if the call does not wait for capacity.
      */
-    fun run(group: String?, streamQueue: StreamQueue?): CallRecord? {
+    fun run(group: String?, stream: StartedStream?): CallRecord? {
         this.group = group
-        this.streamQueue = streamQueue
+        this.stream = stream
         if (!isBudgetCredited) budget.onFirstAttempt(parts.retryPercent)
         isBudgetCredited = true
         hasEventsOfRun = false
@@ -314,7 +314,7 @@
         recordOutput()
         parts.recovery.onAnswer(call.service, gateGroup)
         val now = System.nanoTime()
-        if (hasEventsOfRun) streamQueue?.onEvent((now - lastEventNanos) / NANOS_PER_MILLI) else streamQueue?.onFirstEvent()
+        stream?.onEvent { (now - lastEventNanos) / NANOS_PER_MILLI }
         lastEventNanos = now
         hasEventsOfRun = true
     }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -98,7 +98,7 @@
                 is StreamQueueOutcome.CallerGone -> return CallRecord(CallOutcome.CallerGone)
                 is StreamQueueOutcome.Refused -> return refusedRecord(call, execution, queueOutcome)
                 is StreamQueueOutcome.Moved -> Unit
-                is StreamQueueOutcome.Passed -> runStream(call, execution, group, streamQueue)?.let { return it }
+                is StreamQueueOutcome.Passed -> runStream(call, execution, group, StartedStream(streamQueue, arrival))?.let { return it }
             }
         }
     }
@@ -113,16 +113,16 @@
         call: DirectCall,
         execution: CallExecution,
         group: String?,
-        streamQueue: StreamQueue,
+        stream: StartedStream,
     ): CallRecord? =
         try {
-            parts.streamTurns.whileStarted(call) { execution.run(group, streamQueue) }
+            parts.streamTurns.whileStarted(call) { execution.run(group, stream) }
         } finally {
-            streamQueue.onEnd(execution.hasEventsOfRun, call.route.maxEventGapMillis)
+            stream.onEnd()
         }
 
     private fun runAtGate(call: DirectCall, execution: CallExecution, group: String?): CallRecord? =
-        parts.streamTurns.whileStarted(call) { execution.run(group, streamQueue = null) }
+        parts.streamTurns.whileStarted(call) { execution.run(group, stream = null) }
 
     /** Forwards [call], which waits only while its targets take no requests at all. */
     private fun forwardAtGate(call: DirectCall, response: DirectResponse): CallRecord {
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueue.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueue.kt
@@ -59,6 +59,7 @@
     private val startedByGapMillis = TreeMap<Long, Int>()
     private var started = 0
     private var running = 0
+    private var unreadMillis = 0.0
     private var lastStartMillis = 0L
     private var lastDecisionMillis = 0L
     private var lastPredictionMillis = 0L
@@ -97,10 +98,12 @@
             return waiter.outcome!!
         } finally {
             room.remove(request)
-            if (!isReturned && waiter.outcome is StreamQueueOutcome.Passed) onEnd(false, waiter.arrival.maxGapMillis)
+            if (!isReturned && waiter.outcome is StreamQueueOutcome.Passed) waiter.endUnsent()
         }
     }
 
+    private fun Waiter.endUnsent() = onEnd(wasRunning = false, arrival.maxGapMillis, arrival.cost.readMillis)
+
     private fun awaitChange(waiter: Waiter) {
         waiter.decided.await(RECHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
         decideIfDue(RECHECK_INTERVAL_MILLIS)
@@ -109,9 +112,12 @@
     /** Wakes the waiting streams, so that they check whether their callers are still connected. */
     fun wake() = lock.withLock { room.requests().forEach { it.value.decided.signalAll() } }
 
-    /** Records the first event of a stream. */
-    fun onFirstEvent() {
-        lock.withLock { running += 1 }
+    /** Records the first event of a stream, whose prompt took [readMillis] to read. */
+    fun onFirstEvent(readMillis: Double = 0.0) {
+        lock.withLock {
+            running += 1
+            endReading(readMillis)
+        }
     }
 
     /** Records an event of a stream, [gapMillis] after its previous event. */
@@ -122,17 +128,22 @@
         }
     }
 
-    /** Records the end of a stream that was started with this [maxGapMillis]; [wasRunning] if it had an event. */
-    fun onEnd(wasRunning: Boolean, maxGapMillis: Long) {
+    /** Records the end of a stream that was started with this [maxGapMillis] and [readMillis]; [wasRunning] if it had an event. */
+    fun onEnd(wasRunning: Boolean, maxGapMillis: Long, readMillis: Double = 0.0) {
         lock.withLock {
             started -= 1
             startedByGapMillis.computeIfPresent(maxGapMillis) { _, count -> (count - 1).takeIf { it > 0 } }
-            if (wasRunning) running -= 1
+            if (wasRunning) running -= 1 else endReading(readMillis)
             if (running == 0) passEstimator.clear()
             if (room.size > 0) decide(nowMillis())
         }
     }
 
+    private fun endReading(readMillis: Double) {
+        // Sums of fractions may leave a rest.
+        unreadMillis = if (started == running) 0.0 else maxOf(unreadMillis - readMillis, 0.0)
+    }
+
     private fun decideIfDue(intervalMillis: Long) {
         val now = nowMillis()
         if (room.size > 0 && now - lastDecisionMillis >= intervalMillis) decide(now)
@@ -141,7 +152,8 @@
     private fun decide(now: Long) {
         lastDecisionMillis = now
         while (true) {
-            val next = room.next(now) { it.value.hold.mayPass() } ?: break
+            val load = load(now)
+            val next = room.next(now, { forecast(it.value, load, now) }) { it.value.hold.mayPass() } ?: break
             if (!mayStart(next.value, now)) break
             start(next, now)
         }
@@ -156,6 +168,7 @@
         room.start(request, now)
         val passMillis = passEstimator.passMillis(now)
         started += 1
+        unreadMillis += waiter.arrival.cost.readMillis
         startedByGapMillis.merge(waiter.arrival.maxGapMillis, 1, Int::plus)
         lastStartMillis = now
         waiter.end(StreamQueueOutcome.Passed(now - waiter.queuedAtMillis, passMillis))
@@ -247,5 +260,6 @@
             passMillis = passEstimator.passMillis(now),
             sinceLastStartMillis = now - lastStartMillis,
             tightestGapMillis = startedByGapMillis.firstEntry()?.key,
+            unreadMillis = unreadMillis,
         )
 }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/StreamQueueTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/StreamQueueTest.kt
@@ -64,19 +64,23 @@
     private val queue = StreamQueue(nowMillis = clockMillis::get, random = Random(1))
     private val admission = StreamAdmission(engine, GAP_MILLIS, rankCount = 1, instanceCount = 1)
 
-    private fun arrival(urgency: Int, content: String = "content", giveUpMillis: Long = 2_000) =
-        StreamArrival(
-            urgency = Urgency(urgency),
-            organisation = "org",
-            session = null,
-            cost = RequestCost(0.0, 40.0, 40.0),
-            objectiveMillis = 500,
-            maxGapMillis = GAP_MILLIS,
-            arrivedAtMillis = clockMillis.get(),
-            firstEventByMillis = clockMillis.get() + giveUpMillis,
-            deadlineMillis = clockMillis.get() + 8_000,
-            content = content,
-        )
+    private fun arrival(
+        urgency: Int,
+        content: String = "content",
+        giveUpMillis: Long = 2_000,
+        readMillis: Double = 0.0,
+    ) = StreamArrival(
+        urgency = Urgency(urgency),
+        organisation = "org",
+        session = null,
+        cost = RequestCost(readMillis, 40.0, 40.0),
+        objectiveMillis = 500,
+        maxGapMillis = GAP_MILLIS,
+        arrivedAtMillis = clockMillis.get(),
+        firstEventByMillis = clockMillis.get() + giveUpMillis,
+        deadlineMillis = clockMillis.get() + 8_000,
+        content = content,
+    )
 
     private fun start(arrival: StreamArrival, gate: StartGate = OpenGate) =
         StreamStart(
@@ -117,6 +121,48 @@
 
     private fun endStream() = queue.onEnd(wasRunning = false, maxGapMillis = GAP_MILLIS)
 
+    private fun startLargePrompts(readMillis: Double): List<StartedStream> =
+        List(PLACES) {
+            val arrival = arrival(1, readMillis = readMillis)
+            assertIs<StreamQueueOutcome.Passed>(await(arrival).outcome())
+            StartedStream(queue, arrival)
+        }
+
+    @Test
+    fun `a stream that cannot have its first event in time because of unread prompts is refused at once`() {
+        startLargePrompts(readMillis = 800.0)
+        val refused = assertIs<StreamQueueOutcome.Refused>(await(arrival(0)).outcome())
+        assertEquals(HoldReason.TOO_LATE, refused.reason)
+        assertEquals(0, refused.waitedMillis)
+    }
+
+    @Test
+    fun `a stream that cannot be on time because of unread prompts yields to one that can`() {
+        val large = startLargePrompts(readMillis = 300.0)
+        val late = await(arrival(0))
+        large.forEach { it.onEvent { 0 } }
+        val onTime = await(arrival(1))
+        large.first().onEnd()
+        assertIs<StreamQueueOutcome.Passed>(onTime.outcome())
+        assertTrue(!late.isDone)
+    }
+
+    @Test
+    fun `prompts are unread until the first event or the end of their stream`() {
+        val large = startLargePrompts(readMillis = 800.0)
+        large[0].onEvent { 0 }
+        large[0].onEvent { 10 }
+        large[1].onEnd()
+        assertIs<StreamQueueOutcome.Passed>(await(arrival(0, giveUpMillis = 900)).outcome())
+        large[0].onEnd()
+        val resumed = arrival(1, readMillis = 800.0)
+        assertIs<StreamQueueOutcome.Passed>(await(resumed).outcome())
+        assertIs<StreamQueueOutcome.Refused>(await(arrival(0, giveUpMillis = 1_600)).outcome())
+        StartedStream(queue, resumed).onEnd()
+        large[2].onEnd()
+        assertIs<StreamQueueOutcome.Passed>(await(arrival(0, giveUpMillis = 100)).outcome())
+    }
+
     @Test
     fun `the most urgent of the waiting streams starts when one ends`() {
         fillPlaces()
