--- a/core/src/test/kotlin/io/jaybeam/core/admission/WaitingRoomLoadTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/admission/WaitingRoomLoadTest.kt
@@ -72,7 +72,8 @@
             val inOrder = playService(sent, InOrderOfArrival())
             val both = "seed $seed: $result; in order of arrival: $inOrder"
             assertTrue(result.onTimeShare(0) > 0.97 && result.servedShare(0) > 0.99, both)
-            assertTrue(result.servedShare(1) > result.servedShare(2), both)
+            assertTrue(result.servedShare(1) > result.servedShare(2) || result.servedShare(1) == 1.0, both)
+            assertTrue(result.onTimeShare(1) > result.onTimeShare(2), both)
             assertTrue(result.onTimeShare() > inOrder.onTimeShare() + 0.1, both)
             assertTrue(1 - result.servedShare() <= shareOverCapacity, "$shareOverCapacity over the capacity, $both")
         }
