Withdraw requests by a reset; pass by targets that have stopped answering

Cause: a request that ends before its answer closed its connection regularly, and what the system had taken from the process was still delivered when a suspended target read again. A target was avoided only once one of its requests had ended with a failure. Evidence: FrozenTargetTest failed first: after its caller had left the target read 65719 bytes of a request with a body of 65536 bytes, and 65718 bytes of one whose time was over. Change: WithdrawingSocket resets a connection that is closed within an exchange; TargetSilence counts a target as silent while its requests still wait, and lets one request at a time try it again. Most targets silent at once are used as before.

--- a/core/src/main/kotlin/io/jaybeam/core/fleet/TargetChoice.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/TargetChoice.kt
@@ -2,7 +2,7 @@
  * Chooses the target of a request by the work that each target has left and by what the request is expected to cost.
  *
  * Where costs are not known, the target with the lowest load per batch slot is preferred, and among equals one in the local
- * data centre.
+ * data centre. A target that has stopped answering is passed by.
  */
 package io.jaybeam.core.fleet
 
@@ -17,11 +17,12 @@
     request: PlacementRequest = PlacementRequest(),
 ): FleetTarget? {
     if (candidates.isEmpty()) return null
+    val used = withoutSilent(candidates)
     val engine = request.engine
     if (engine != null && engine.hasRequestCost && request.cost.isKnown) {
-        return GenerationPlacement(engine, request, localDataCentre, random).choose(candidates)
+        return GenerationPlacement(engine, request, localDataCentre, random).choose(used)
     }
-    val best = withLeastLoadPerSlot(candidates, request.cost)
+    val best = withLeastLoadPerSlot(used, request.cost)
     return best
         .filter { it.target.dataCentre == localDataCentre }
         .ifEmpty { best }
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/TargetLoad.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/TargetLoad.kt
@@ -10,6 +10,7 @@
  *
  * @property requestsInFlight requests of this instance at the target and, if a recent report is available, those of all others.
  * @property recentFailures failures during the last seconds that count against the target.
+ * @property isSilent whether the target has not answered its requests for longer than they accept.
  * @property backlog work that the target is expected to have left.
  */
 public data class TargetLoad(
@@ -17,4 +18,5 @@
     val requestsInFlight: Int,
     val recentFailures: Int,
     val backlog: Backlog = Backlog(requestsInFlight),
+    val isSilent: Boolean = false,
 )
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/AttemptCost.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/AttemptCost.kt
@@ -9,6 +9,7 @@
 import io.jaybeam.core.cost.RequestCost
 import io.jaybeam.core.fleet.FleetTarget
 import io.jaybeam.core.fleet.RouteKind
+import io.jaybeam.core.fleet.silenceBoundMillis
 
 /** What decided on the target of an attempt, for the log. */
 internal data class PlacementRecord(
@@ -36,7 +37,7 @@
     private val cost = call.costAfter(writtenEvents)
     private val loadBefore = loads.of(target)
     private val startedNanos = nanoTime()
-    private val placed = loads.onRequestStart(target.id, cost)
+    private val placed = loads.onRequestStart(target.id, cost, silenceBoundMillis(call.route, cost.readMillis))
     private var outputNanos: Long? = null
 
     /** What is known when the attempt begins, for the log. */
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -141,7 +141,11 @@
                     ),
                 recovery = recovery,
                 groups = groupSelector,
-                sender = TargetSender(notices, answerNotices::onAnswer),
+                sender =
+                    TargetSender(notices, { call, target, answer ->
+                        loads.onSign(target.id)
+                        answerNotices.onAnswer(call, target, answer)
+                    }),
                 retryBudgetFor = { service ->
                     val slack = settings.limits.retrySlack
                     val burst = retrySlackPerInstance(slack, peers.entryCount)
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetLoads.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetLoads.kt
@@ -10,6 +10,7 @@
 import io.jaybeam.core.cost.TargetBacklog
 import io.jaybeam.core.fleet.FleetTarget
 import io.jaybeam.core.fleet.TargetLoad
+import io.jaybeam.core.fleet.TargetSilence
 import java.util.concurrent.ConcurrentHashMap
 
 /** Time for which a failure counts against a target, about as long as a group takes to detect a dead rank. */
@@ -26,6 +27,7 @@
 ) {
     private inner class Load {
         val backlog = TargetBacklog { nanoTime() / NANOS_PER_MILLI }
+        val silence = TargetSilence { nanoTime() / NANOS_PER_MILLI }
 
         @Volatile
         var lastFailureNanos: Long? = null
@@ -36,11 +38,23 @@
     /** Load of each target that has not been used. */
     private val unused = Load()
 
-    /** Records that a request with [cost] is about to be sent to the target with [id]. */
-    fun onRequestStart(id: String, cost: RequestCost): PlacedRequest = load(id).backlog.start(cost)
+    /**
+     * Records that a request with [cost] is about to be sent to the target with [id], which counts as silent if it sends nothing for
+     * [silenceBoundMillis].
+     */
+    fun onRequestStart(id: String, cost: RequestCost, silenceBoundMillis: Long = Long.MAX_VALUE): PlacedRequest {
+        val load = load(id)
+        return load.backlog.start(cost).also { load.silence.onSent(it, silenceBoundMillis) }
+    }
+
+    /** Records that the target with [id] has begun to answer. */
+    fun onSign(id: String) = load(id).silence.onSign()
 
     /** Records output of [request] at the target with [id], after which [restTokens] are expected. */
-    fun onOutput(id: String, request: PlacedRequest, restTokens: Double) = load(id).backlog.onOutput(request, restTokens)
+    fun onOutput(id: String, request: PlacedRequest, restTokens: Double) {
+        load(id).backlog.onOutput(request, restTokens)
+        onSign(id)
+    }
 
     /** Records that the target with [id] took [actualMillis] for what usually takes [expectedMillis]. */
     fun onSpeed(id: String, actualMillis: Double, expectedMillis: Double) = load(id).backlog.onSpeed(actualMillis, expectedMillis)
@@ -49,6 +63,7 @@
     fun onRequestEnd(id: String, request: PlacedRequest, hasFailed: Boolean) {
         val load = load(id)
         load.backlog.end(request)
+        load.silence.onEnd(request)
         if (hasFailed) load.lastFailureNanos = nanoTime()
     }
 
@@ -58,7 +73,7 @@
         val lastFailure = load.lastFailureNanos
         val recentFailures = if (lastFailure != null && nanoTime() - lastFailure < RECENT_FAILURE_NANOS) 1 else 0
         val backlog = load.backlog.summary(reportOf(target), typical)
-        return TargetLoad(target, backlog.requests, recentFailures, backlog)
+        return TargetLoad(target, backlog.requests, recentFailures, backlog, load.silence.isAvoided)
     }
 
     /** Returns the number of requests that this entry has in flight at [target]. */
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -15,6 +15,7 @@
 import io.jaybeam.runtime.http.HttpTimeouts
 import io.jaybeam.runtime.http.UNLIMITED_BODY
 import io.jaybeam.runtime.http.UnconnectedSocketFactory
+import io.jaybeam.runtime.http.WithdrawingSocket
 import io.jaybeam.runtime.http.endsWithConnection
 import io.jaybeam.runtime.http.singleAttemptClient
 import okhttp3.Call
@@ -108,14 +109,15 @@
 private class NoTimeLeftException : IOException("no time is left for the request")
 
 /**
- * Sends requests to targets. Thread-safe.
+ * Sends requests to targets. A request that ends before its answer resets its connection, so that what is held up on the way to a target that
+ * reads nothing does not reach it later. Thread-safe.
  *
  * [onAnswer] is called with each answer of a target, also with those that cannot be relayed.
  */
 internal class TargetSender(
     private val notices: TargetNotices = TargetNotices(),
     private val onAnswer: (DirectCall, FleetTarget, TargetAnswer) -> Unit = { _, _, _ -> },
-    newSocket: () -> BoundedSocket = ::BoundedSocket,
+    newSocket: () -> BoundedSocket = ::WithdrawingSocket,
 ) {
     private class Progress(
         val call: DirectCall,
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/SenderFixture.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/SenderFixture.kt
@@ -27,14 +27,14 @@
         startedAtEpochMillis = 0,
     )
 
-internal fun newCall(bodyBytes: Int, limitMillis: Long = CALL_LIMIT_MILLIS) =
+internal fun newCall(bodyBytes: Int, limitMillis: Long = CALL_LIMIT_MILLIS, requestId: String? = "r1") =
     DirectCall(
         method = "POST",
         pathAndQuery = "/x",
         headers = emptyList(),
         connectionHeader = null,
         body = ByteArray(bodyBytes).takeIf { it.isNotEmpty() },
-        caller = CallerRequest("r1", null, null, null),
+        caller = CallerRequest(requestId, null, null, null),
         route =
             Route("x", "x", "/", RouteKind.AT_MOST_ONCE, CALL_LIMIT_MILLIS, 100, 1, listOf(WeightedService("plain", 1)), 1, true, false, 0),
         service = "plain",
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/http/AnswerScanner.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/AnswerScanner.kt
@@ -61,6 +61,9 @@
     /** Whether the last answer has ended and nothing came behind it, so that the connection can carry another request. */
     val isBetweenAnswers: Boolean get() = part == Part.NONE && !hasSurplus
 
+    /** Whether the end of the answer in progress has not been read. */
+    val isInAnswer: Boolean get() = part != Part.NONE
+
     /** Starts to follow the answer to the next request; [isHead] if its method is HEAD. */
     fun onRequestStart(isHead: Boolean) {
         isHeadRequest = isHead
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/http/BoundedAnswers.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/BoundedAnswers.kt
@@ -48,6 +48,9 @@
     // Guarded by itself: the HTTP client may check an idle connection in another thread.
     private val scanner = AnswerScanner()
     private var isHeadUnchecked = false
+
+    @Volatile
+    private var isInputEnded = false
     private val input by lazy { CountingStream(super.getInputStream()) }
 
     /** Number of requests that were begun on this connection. */
@@ -55,6 +58,9 @@
     public var requestCount: Int = 0
         private set
 
+    /** Whether a request was begun on this connection whose answer has not ended. */
+    protected val isAnswerPending: Boolean get() = !isInputEnded && synchronized(scanner) { scanner.isInAnswer }
+
     override fun getInputStream(): InputStream = input
 
     /**
@@ -86,6 +92,7 @@
     }
 
     private fun onRead(bytes: ByteArray, offset: Int, count: Int) {
+        if (count < 0) isInputEnded = true
         if (count <= 0) return
         val fault =
             synchronized(scanner) {
@@ -100,7 +107,7 @@
     private inner class CountingStream(
         stream: InputStream,
     ) : FilterInputStream(stream) {
-        override fun read(): Int = super.read().also { if (it >= 0) onRead(byteArrayOf(it.toByte()), 0, 1) }
+        override fun read(): Int = super.read().also { onRead(byteArrayOf(it.toByte()), 0, if (it < 0) -1 else 1) }
 
         override fun read(bytes: ByteArray, offset: Int, length: Int): Int =
             super.read(bytes, offset, length).also { onRead(bytes, offset, it) }
