--- a/core/src/main/kotlin/io/jaybeam/core/fleet/TargetSilence.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/TargetSilence.kt
@@ -27,8 +27,8 @@
     private var silentEndMillis: Long? = null
 
     /**
-     * Whether requests should go to other targets. A target that stays silent without requests gets one as a trial from time to time, and no
-     * other until it has given a sign.
+     * Whether requests should go to other targets. A target that stays silent without requests gets one as a trial from time to time,
+     * and no other until it has given a sign.
      */
     public val isAvoided: Boolean
         @Synchronized get() {
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -109,8 +109,8 @@
 private class NoTimeLeftException : IOException("no time is left for the request")
 
 /**
- * Sends requests to targets. A request that ends before its answer resets its connection, so that what is held up on the way to a target that
- * reads nothing does not reach it later. Thread-safe.
+ * Sends requests to targets. A request that ends before its answer resets its connection, so that what is held up on the way to a target
+ * that reads nothing does not reach it later. Thread-safe.
  *
  * [onAnswer] is called with each answer of a target, also with those that cannot be relayed.
  */
