jaybeam explain: where a request would go now and why, without sending it

Cause: whether a request would start, wait or be refused, and at which target, could only be pieced together from /dump and logs. Change: targetChances and groupChances state the chances with which chooseTarget and chooseGroup draw; both share one comparison, which GenerationPlacement and GroupChoice had inside their draws. RequestExplainer puts them together with route, cost, gate and queue; entries serve GET /explain on the address of their metrics, and the command prints it. No decision changes. EntryFixture opens the operators' address too.

--- a/core/src/main/kotlin/io/jaybeam/core/admission/WaitingRoom.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/WaitingRoom.kt
@@ -93,6 +93,20 @@
         }
     }
 
+    /** Returns the time after which [request], which does not wait, would be expected to start if it did. */
+    public fun expectedWaitOf(
+        request: WaitingRequest<T>,
+        nowMillis: Long,
+        forecast: (WaitingRequest<T>) -> StartForecast,
+    ): ExpectedWait<T> {
+        waiting += request
+        try {
+            return expectedWaits(nowMillis, forecast).first { it.request === request }
+        } finally {
+            waiting.removeLast()
+        }
+    }
+
     private data class Ahead(
         val all: Int,
         val ofEqualUrgency: Int,
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/GenerationPlacement.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/GenerationPlacement.kt
@@ -31,42 +31,53 @@
 
     /** Returns one of [candidates], of which there is at least one. */
     fun choose(candidates: List<TargetLoad>): FleetTarget {
+        val weights = weightsOf(candidates)
+        val drawable = candidates.indices.filter { weights[it] > 0.0 }
+        var remaining = random.nextDouble() * weights.sum()
+        val drawn =
+            drawable.firstOrNull {
+                remaining -= weights[it]
+                remaining < 0
+            }
+        return candidates[drawn ?: drawable.last()].target
+    }
+
+    /** Returns for each of [candidates], of which there is at least one, what its chance to be chosen is proportional to. */
+    fun weightsOf(candidates: List<TargetLoad>): List<Double> {
         val roomy = withMostRoom(candidates)
-        return if (roomy.any { it.backlog.isReported }) spread(roomy, costsOf(roomy)) else fewestRequests(roomy)
+        val weights = if (roomy.any { it.backlog.isReported }) spread(roomy, costsOf(roomy)) else evenly(fewestRequests(roomy))
+        return candidates.map { weights[it] ?: 0.0 }
     }
 
+    private fun evenly(targets: List<TargetLoad>) = targets.associateWith { 1.0 }
+
     /** Returns the costs of [targets], of which some have reported; the others are taken for as busy as these on average. */
     private fun costsOf(targets: List<TargetLoad>): List<Double> {
         val reportedMean = targets.filter { it.backlog.isReported }.map(::expectedMillis).average()
         return targets.map { if (it.backlog.isReported) expectedMillis(it) else maxOf(expectedMillis(it), reportedMean) }
     }
 
-    /** Returns the target with the least requests per slot, and among equals one in the local data centre with the least work left. */
-    private fun fewestRequests(targets: List<TargetLoad>): FleetTarget {
+    /** Returns the targets with the least requests per slot, of these the ones in the local data centre with the least work left. */
+    private fun fewestRequests(targets: List<TargetLoad>): List<TargetLoad> {
         val fewest = withLeastLoadPerSlot(targets, cost)
         val near = fewest.filter { it.target.dataCentre == localDataCentre }.ifEmpty { fewest }
         val maxMillis = near.minOf(::expectedMillis) + ownWorkMillis * TOLERANCE_SHARE
-        return near.filter { expectedMillis(it) <= maxMillis }.random(random).target
+        return near.filter { expectedMillis(it) <= maxMillis }
     }
 
-    /** Returns one of the targets below the level to which the requests that this entry does not see fill them. */
-    private fun spread(targets: List<TargetLoad>, costs: List<Double>): FleetTarget {
+    /** Returns the weights of the targets below the level to which the requests that this entry does not see fill them. */
+    private fun spread(targets: List<TargetLoad>, costs: List<Double>): Map<TargetLoad, Double> {
         val unseenWorkMillis = request.unseenRequests * UNSEEN_FACTOR * typicalWorkMillis
         val level = levelAfter(costs.sorted(), if (unseenWorkMillis > 0.0) ownWorkMillis + unseenWorkMillis else 0.0)
-        val weights = targets.indices.map { maxOf(level - costs[it], 0.0) * preference(targets[it]) }
-        var remaining = random.nextDouble() * weights.sum()
-        for (index in targets.indices) {
-            remaining -= weights[index]
-            if (remaining < 0) return targets[index].target
-        }
-        // Without unseen requests all weights may be 0.
+        val weights = targets.indices.associate { targets[it] to maxOf(level - costs[it], 0.0) * preference(targets[it]) }
+        return if (weights.values.sum() > 0.0) weights else evenly(leastCost(targets, costs))
+    }
+
+    /** Returns the targets of least cost, for the case in which no target is below the level as nothing is unseen; local ones first. */
+    private fun leastCost(targets: List<TargetLoad>, costs: List<Double>): List<TargetLoad> {
         val maxCost = costs.min() + ownWorkMillis * TOLERANCE_SHARE
         val least = targets.filterIndexed { index, _ -> costs[index] <= maxCost }
-        return least
-            .filter { it.target.dataCentre == localDataCentre }
-            .ifEmpty { least }
-            .random(random)
-            .target
+        return least.filter { it.target.dataCentre == localDataCentre }.ifEmpty { least }
     }
 
     private fun preference(load: TargetLoad) = if (load.target.dataCentre == localDataCentre) LOCAL_PREFERENCE else 1.0
@@ -95,7 +106,7 @@
         if (engine.memoryTokens > 0) engine.memoryTokens - backlog.memoryTokens else Double.MAX_VALUE
 
     /** Returns the time until the first event at the target, and the time by which what it then has left lengthens passes. */
-    private fun expectedMillis(load: TargetLoad): Double {
+    fun expectedMillis(load: TargetLoad): Double {
         val backlog = load.backlog
         val writeMillis = backlog.answerTokens * engine.stepMillisPerRequest
         val failureMillis = load.recentFailures * FAILURE_COST_BATCHES * engine.batchSlots * ownWorkMillis
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/GroupChoice.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/GroupChoice.kt
@@ -19,12 +19,39 @@
  * not between at least two groups or none of them is open, so that the service is served as a whole.
  */
 public fun chooseGroup(options: List<GroupOption>, entryCount: Int, random: Random): String? {
-    if (options.size < 2) return null
-    val open = options.filter { it.isOpen && it.rankCount > 0 }
-    if (open.isEmpty()) return null
-    val costs = open.zip(expectedTimes(open, entryCount))
-    val least = costs.minOf { it.second }
-    return weightedByRanks(costs.filter { it.second <= least * (1 + TIE_SHARE) }.map { it.first }, random).group
+    val least = leastCostGroups(options, entryCount)
+    return if (least.isEmpty()) null else weightedByRanks(least, random).group
+}
+
+/**
+ * A group that a request may go to.
+ *
+ * @property relativeTime time that a request takes there, up to a factor common to all; null if the group is not open.
+ * @property chance probability with which it is chosen, 0 to 1.
+ */
+public data class GroupChance(
+    val option: GroupOption,
+    val relativeTime: Double?,
+    val chance: Double,
+)
+
+/** Returns each of [options] with the chance that [chooseGroup] returns it; all are 0 if the service is served as a whole. */
+public fun groupChances(options: List<GroupOption>, entryCount: Int): List<GroupChance> {
+    val open = options.filter { it.isUsable }
+    val times = open.zip(expectedTimes(open, entryCount)).toMap()
+    val least = leastCostGroups(options, entryCount)
+    val rankCount = least.sumOf { it.rankCount }
+    return options.map { GroupChance(it, times[it], if (it in least) it.rankCount.toDouble() / rankCount else 0.0) }
+}
+
+private val GroupOption.isUsable get() = isOpen && rankCount > 0
+
+private fun leastCostGroups(options: List<GroupOption>, entryCount: Int): List<GroupOption> {
+    val open = options.filter { it.isUsable }
+    if (options.size < 2 || open.isEmpty()) return emptyList()
+    val times = expectedTimes(open, entryCount)
+    val maxTime = times.min() * (1 + TIE_SHARE)
+    return open.filterIndexed { index, _ -> times[index] <= maxTime }
 }
 
 /** Returns for each of [open] the time that a request takes there, up to a factor common to all. */
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/TargetChoice.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/TargetChoice.kt
@@ -17,16 +17,49 @@
     request: PlacementRequest = PlacementRequest(),
 ): FleetTarget? {
     if (candidates.isEmpty()) return null
-    val engine = request.engine
-    if (engine != null && engine.hasRequestCost && request.cost.isKnown) {
-        return GenerationPlacement(engine, request, localDataCentre, random).choose(candidates)
-    }
+    placementOrNull(localDataCentre, random, request)?.let { return it.choose(candidates) }
+    return leastLoaded(candidates, localDataCentre, request).random(random).target
+}
+
+/**
+ * Returns each of [candidates] with the chance that [chooseTarget] returns it for [request] now.
+ *
+ * @see TargetChance
+ */
+public fun targetChances(
+    candidates: List<TargetLoad>,
+    localDataCentre: String,
+    request: PlacementRequest = PlacementRequest(),
+): List<TargetChance> {
+    if (candidates.isEmpty()) return emptyList()
+    val placement = placementOrNull(localDataCentre, Random.Default, request)
+    val least = if (placement == null) leastLoaded(candidates, localDataCentre, request).toSet() else emptySet()
+    val weights = placement?.weightsOf(candidates) ?: candidates.map { if (it in least) 1.0 else 0.0 }
+    val sum = weights.sum()
+    return candidates.mapIndexed { index, load -> TargetChance(load, placement?.expectedMillis(load), weights[index] / sum) }
+}
+
+/**
+ * A target that a request may go to.
+ *
+ * @property expectedMillis time until its first event there and time by which what the target then has left lengthens passes; null if
+ *   costs are not known, so that requests are counted.
+ * @property chance probability with which it is chosen, 0 to 1.
+ */
+public data class TargetChance(
+    val load: TargetLoad,
+    val expectedMillis: Double?,
+    val chance: Double,
+)
+
+private fun placementOrNull(localDataCentre: String, random: Random, request: PlacementRequest): GenerationPlacement? {
+    val engine = request.engine?.takeIf { it.hasRequestCost && request.cost.isKnown } ?: return null
+    return GenerationPlacement(engine, request, localDataCentre, random)
+}
+
+private fun leastLoaded(candidates: List<TargetLoad>, localDataCentre: String, request: PlacementRequest): List<TargetLoad> {
     val best = withLeastLoadPerSlot(candidates, request.cost)
-    return best
-        .filter { it.target.dataCentre == localDataCentre }
-        .ifEmpty { best }
-        .random(random)
-        .target
+    return best.filter { it.target.dataCentre == localDataCentre }.ifEmpty { best }
 }
 
 /** Returns those of [candidates] that have the least load per batch slot for a request with [cost]. */
--- a/entry/src/main/kotlin/io/jaybeam/entry/Main.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/Main.kt
@@ -7,6 +7,7 @@
 import io.jaybeam.entry.operator.ConfigCommand
 import io.jaybeam.entry.operator.DataCentreCommand
 import io.jaybeam.entry.operator.DumpCommand
+import io.jaybeam.entry.operator.ExplainCommand
 import io.jaybeam.entry.operator.InstanceCommand
 import io.jaybeam.entry.operator.KeysCommand
 import io.jaybeam.runtime.settings.runProcess
@@ -32,6 +33,7 @@
         InstanceCommand::class,
         ConfigCommand::class,
         DumpCommand::class,
+        ExplainCommand::class,
     ],
 )
 internal class JaybeamCommand
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -124,21 +124,28 @@
     @Volatile
     private var stop: Stop? = null
 
+    private val targetSelector =
+        TargetSelector(settings.dataCentre, { cache.snapshot }, loads, notices, presence, peers::entryCount, groupSelector)
+    private val explainPage =
+        ExplainPage(
+            RequestExplainer(
+                settings.instance,
+                { cache.snapshot },
+                costs,
+                targetSelector,
+                groupSelector,
+                recovery,
+                streamTurns,
+                peers::entryCount,
+            ),
+        )
+
     private val forwarder =
         DirectForwarder(
             ForwarderParts(
                 snapshot = { cache.snapshot },
                 costs = CostAccounts(loads, costs),
-                targets =
-                    TargetSelector(
-                        settings.dataCentre,
-                        { cache.snapshot },
-                        loads,
-                        notices,
-                        presence,
-                        peers::entryCount,
-                        groupSelector,
-                    ),
+                targets = targetSelector,
                 recovery = recovery,
                 groups = groupSelector,
                 sender = TargetSender(notices, answerNotices::onAnswer),
@@ -171,7 +178,7 @@
             readinessAddress = settings.readinessAddress,
             operatorAddress = settings.operatorAddress,
             serve = ::serve,
-            serveOperators = metrics::serve,
+            serveOperators = { if (it.path() == EXPLAIN_PATH) explainPage.serve(it) else metrics.serve(it) },
             isReady = { !isStopping && isComplete() },
             isStopping = { isStopping },
         )
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectForwarder.kt
@@ -7,6 +7,7 @@
 import io.jaybeam.core.admission.OpenGate
 import io.jaybeam.core.admission.StreamAdmission
 import io.jaybeam.core.fleet.EngineModel
+import io.jaybeam.core.fleet.Route
 import io.jaybeam.core.fleet.RouteKind
 import io.jaybeam.core.quarantine.QuarantineDecision
 import io.jaybeam.core.routing.RetryBudget
@@ -65,8 +66,7 @@
     }
 
     /** Whether the stream of [call] waits for room at its group. */
-    private fun isAdmitted(call: DirectCall): Boolean =
-        call.route.kind == RouteKind.STREAM && call.route.maxEventGapMillis > 0 && engineOf(call) != null
+    private fun isAdmitted(call: DirectCall): Boolean = call.route.isPaced && engineOf(call) != null
 
     private fun engineOf(call: DirectCall): EngineModel? =
         parts
@@ -75,12 +75,8 @@
             ?.service(call.service)
             ?.engine
 
-    /** Returns the admission that decides when the stream of [call] may start at [group]. */
-    private fun admissionFor(call: DirectCall, engine: EngineModel, group: String?): StreamAdmission {
-        val targetCount = parts.snapshot().targets.countForService(call.service)
-        val rankCount = group?.let { parts.groups.rankCountOf(call.service, it) } ?: targetCount
-        return StreamAdmission(engine, call.route.maxEventGapMillis, rankCount, parts.entryCount())
-    }
+    private fun admissionFor(call: DirectCall, engine: EngineModel, group: String?): StreamAdmission =
+        streamAdmissionOf(call, engine, group, parts.snapshot(), parts.groups, parts.entryCount())
 
     private fun forwardWhenAdmitted(call: DirectCall, response: DirectResponse): CallRecord {
         val execution = CallExecution(parts, call, response)
@@ -143,5 +139,22 @@
     }
 }
 
+/** Whether streams on this route are late if their events come too slowly, so that they wait for room at their group. */
+internal val Route.isPaced: Boolean get() = kind == RouteKind.STREAM && maxEventGapMillis > 0
+
+/** Returns the admission that decides when the stream of [call] may start at [group], or at its service as a whole if that is null. */
+internal fun streamAdmissionOf(
+    call: DirectCall,
+    engine: EngineModel,
+    group: String?,
+    snapshot: FleetSnapshot,
+    groups: GroupSelector,
+    entryCount: Int,
+): StreamAdmission {
+    val targetCount = snapshot.targets.countForService(call.service)
+    val rankCount = group?.let { groups.rankCountOf(call.service, it) } ?: targetCount
+    return StreamAdmission(engine, call.route.maxEventGapMillis, rankCount, entryCount)
+}
+
 internal fun quarantined(refusal: QuarantineDecision.Refuse) =
     CallOutcome.Refused(Refusal.QUARANTINED, "${refusal.trait}", refusal.retryAfterMillis)
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/GroupSelector.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/GroupSelector.kt
@@ -4,12 +4,14 @@
 package io.jaybeam.entry.direct
 
 import io.jaybeam.core.fleet.FleetTarget
+import io.jaybeam.core.fleet.GroupChance
 import io.jaybeam.core.fleet.GroupKey
 import io.jaybeam.core.fleet.GroupOption
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.KnownGroup
 import io.jaybeam.core.fleet.RecentStarts
 import io.jaybeam.core.fleet.chooseGroup
+import io.jaybeam.core.fleet.groupChances
 import kotlin.random.Random
 
 /** Selects groups for one entry. Thread-safe. */
@@ -27,17 +29,24 @@
      * counts the request there; null if the service is to be served as a whole.
      */
     fun choose(service: String, targets: () -> List<FleetTarget>): String? {
+        val chosen = chooseGroup(options(service, targets), entryCount(), random) ?: return null
+        starts.onStart(GroupKey(service, chosen), groups.nowMillis())
+        return chosen
+    }
+
+    /** Returns what [choose] would decide on each group of [service], without counting a request; empty if it is served as a whole. */
+    fun preview(service: String, targets: () -> List<FleetTarget>): List<GroupChance> =
+        groupChances(options(service, targets), entryCount())
+
+    private fun options(service: String, targets: () -> List<FleetTarget>): List<GroupOption> {
         val now = groups.nowMillis()
         val known = groups.view.groupsOf(service, now)
-        if (known.size < 2) return null
+        if (known.size < 2) return emptyList()
         val targetsByGroup = targets().groupBy { groups.view.groupOf(service, it.address, now) }
         // Another group whose coordinator does not report would get no requests if only the known ones were chosen.
         val unknownCount = targetsByGroup[null]?.size ?: 0
-        if (unknownCount * 2 > known.minOf { it.report.rankCount }) return null
-        val options = known.mapNotNull { group -> targetsByGroup[group.report.group]?.let { option(group, it, now) } }
-        val chosen = chooseGroup(options, entryCount(), random) ?: return null
-        starts.onStart(GroupKey(service, chosen), now)
-        return chosen
+        if (unknownCount * 2 > known.minOf { it.report.rankCount }) return emptyList()
+        return known.mapNotNull { group -> targetsByGroup[group.report.group]?.let { option(group, it, now) } }
     }
 
     /** Records that a request for which [group] was chosen has not been sent there. */
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueue.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueue.kt
@@ -74,7 +74,7 @@
         lock.withLock {
             val now = nowMillis()
             val waiter = Waiter(start, now, lock.newCondition())
-            val request = waitingRequest(waiter, now)
+            val request = waitingRequest(waiter, now, returningCallers.onArrival(start.arrival.content, now))
             val offer = room.offer(request, now)
             when (offer) {
                 is RoomOffer.Full -> refuse(waiter, HoldReason.QUEUE_FULL, fullQueueWaitMillis(waiter), now)
@@ -86,6 +86,26 @@
             awaitOutcome(request, isCallerGone)
         }
 
+    /** Returns what would be decided on the stream of [start] if it arrived now; no stream is counted. */
+    fun preview(start: StreamStart): StreamPreview =
+        lock.withLock {
+            val now = nowMillis()
+            val load = load(now)
+            val waiter = Waiter(start, now, lock.newCondition())
+            val request = waitingRequest(waiter, now, isReturning = false)
+            val forecast = forecast(waiter, load, now)
+            val mayStart = room.size == 0 && start.admission.canStart(load)
+            val expected = room.expectedWaitOf(request, now) { forecast(it.value, load, now) }
+            StreamPreview(
+                waiting = room.size,
+                started = started,
+                passMillis = load.passMillis,
+                waitMillis = if (mayStart) forecast.delayMillis else expected.waitMillis,
+                firstEventMillis = forecast.firstEventMillis,
+                isRefused = !mayStart && isHopeless(expected, forecast, now),
+            )
+        }
+
     private fun awaitOutcome(request: WaitingRequest<Waiter>, isCallerGone: () -> Boolean): StreamQueueOutcome {
         val waiter = request.value
         var isReturned = false
@@ -224,7 +244,7 @@
         decided.signalAll()
     }
 
-    private fun waitingRequest(waiter: Waiter, now: Long): WaitingRequest<Waiter> {
+    private fun waitingRequest(waiter: Waiter, now: Long, isReturning: Boolean): WaitingRequest<Waiter> {
         val arrival = waiter.arrival
         val firstEventMillis = waiter.admission.forecast(load(now)).firstEventMillis
         return WaitingRequest(
@@ -236,7 +256,7 @@
             arrivedAtMillis = arrival.arrivedAtMillis,
             startOnTimeUntilMillis = arrival.arrivedAtMillis + arrival.objectiveMillis - firstEventMillis,
             deadlineMillis = arrival.firstEventByMillis,
-            isReturning = returningCallers.onArrival(arrival.content, now),
+            isReturning = isReturning,
         )
     }
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueueOutcome.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueueOutcome.kt
@@ -58,3 +58,22 @@
     /** It gave its place in the full queue to a more urgent stream. */
     EVICTED,
 }
+
+/**
+ * What the stream queue would decide on a stream that arrives now.
+ *
+ * @property waiting streams that wait.
+ * @property started streams of this entry that were sent to a target and have not ended.
+ * @property passMillis duration of recent passes; null if unknown.
+ * @property waitMillis time until it is expected to start.
+ * @property firstEventMillis time from its start to its first event.
+ * @property isRefused whether its caller is expected to give up before its first event, so that it is refused at once.
+ */
+internal data class StreamPreview(
+    val waiting: Int,
+    val started: Int,
+    val passMillis: Long?,
+    val waitMillis: Long,
+    val firstEventMillis: Long,
+    val isRefused: Boolean,
+)
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamTurns.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamTurns.kt
@@ -18,8 +18,13 @@
     val waitingByUrgency: List<Map<Urgency, Int>> get() = queues.values.map { it.waitingByUrgency }
 
     /** Returns the queue of [group], or of all of [service] if it is null. */
-    fun queueFor(service: String, group: String?): StreamQueue =
-        queues.computeIfAbsent(if (group == null) service else "$service/$group") { StreamQueue() }
+    fun queueFor(service: String, group: String?): StreamQueue = queues.computeIfAbsent(queueKey(service, group)) { StreamQueue() }
+
+    /** Returns what the queue of [group], or of all of [service] if it is null, would decide on the stream of [start] now. */
+    fun preview(service: String, group: String?, start: StreamStart): StreamPreview =
+        (queues[queueKey(service, group)] ?: StreamQueue()).preview(start)
+
+    private fun queueKey(service: String, group: String?) = if (group == null) service else "$service/$group"
 
     /** Runs [block], which sends [call] to targets; the call counts as started meanwhile. */
     fun <T> whileStarted(call: DirectCall, block: () -> T): T {
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetRecovery.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetRecovery.kt
@@ -71,6 +71,9 @@
     /** Whether requests to [group] of [service] are held back. */
     fun isClosed(service: String, group: String): Boolean = groupGates[GateKey(service, group)]?.isClosed == true
 
+    /** Returns the state of the gate of [group], or of all of [service] if that is null, as the targets' answers show it. */
+    fun previewGate(service: String, group: String?): GateState = groupGates[GateKey(service, group)]?.state(nowMillis()) ?: GateState.Open
+
     /** Whether the targets of [service] are ranks, which stand and fall together. */
     fun isRankGroup(service: String): Boolean =
         cache.snapshot.routes
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/EntryFixture.kt
@@ -103,7 +103,7 @@
         }
     }
 
-    /** Returns an entry that has not been started, and its ports for callers and for readiness checks. */
+    /** Returns an entry that has not been started, and its ports for callers, for readiness checks and for operators. */
     protected fun newEntry(
         vararg targets: ScriptedTarget,
         graceMillis: Long = 1_000,
@@ -117,7 +117,7 @@
         peerAddress: HostPort = HostPort(HOST, 0),
         seedAddresses: List<HostPort> = emptyList(),
     ): Pair<DirectEntry, List<Int>> {
-        val ports = List(2) { freePort() }
+        val ports = List(3) { freePort() }
         val settings =
             InstanceSettings(
                 instance = "entry-1",
@@ -138,6 +138,7 @@
                         retryWindowMillis = 10_000,
                         isFencingRequired = true,
                     ),
+                operatorAddress = HostPort(HOST, ports[2]),
             )
         val entry =
             DirectEntry(
