A group that fills: waiting callers are not refused as too late

Cause: the forecast took the next start to be the next end of a running stream, also while the group had room. An entry whose group opened again has a handful of streams, so it expected a start every few hundred milliseconds and refused nearly all that had waited for the opening, with a Retry-After of 1 to 2 s, while the gate let them through every few milliseconds. Change: StartForecast says how many starts there is room for now, at most the places of the targets, and how far apart they are; only those behind them wait for ends. A group with no place for all still refuses at once.

--- a/core/src/main/kotlin/io/jaybeam/core/admission/StreamAdmission.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/StreamAdmission.kt
@@ -62,6 +62,9 @@
     // many callers waiting.
     private val initialStreamLimit = maxOf((rankCount * streamsPerRank() / maxOf(instanceCount, 1)).toInt(), MIN_INITIAL_STREAMS)
 
+    // Streams that one instance may have at most, as targets run no more.
+    private val places = rankCount.toDouble() * engine.batchSlots / maxOf(instanceCount, 1)
+
     private fun streamsPerRank(): Double {
         val millisPerStream = engine.stepsPerPass * engine.stepMillisPerRequest * engine.expertShare * WORST_RANK_SKEW
         return if (millisPerStream > 0) (maxGapMillis - basePassMillis) / millisPerStream else engine.batchSlots.toDouble()
@@ -73,15 +76,20 @@
         return load.started < streamLimit(load, passMillis) && load.sinceLastStartMillis >= startSpacingMillis(load, passMillis)
     }
 
-    /** Returns when streams are expected to start, if those that run end as they usually do. */
+    /**
+     * Returns when streams are expected to start: some at once while the group is not full, the others as those that run end. A group that
+     * is filling has few streams, whose ends say nothing of when others may start.
+     */
     public fun forecast(load: StreamLoad): StartForecast {
         // A longer pass than callers accept does not last: nothing starts meanwhile, or the group has stalled.
         val usualPassMillis = load.passMillis?.let { minOf(it, gapMillis(load)) }
         val firstEventMillis = (usualPassMillis ?: basePassMillis.toLong()) * PASSES_TO_FIRST_EVENT + unreadMillisPerRank(load)
         if (usualPassMillis == null || load.started == 0) return StartForecast(0, null, firstEventMillis)
         val intervalMillis = passesPerStream * usualPassMillis / load.started
-        val excess = load.started - streamLimit(load, usualPassMillis)
-        return StartForecast(maxOf(excess * intervalMillis, 0.0).toLong(), intervalMillis, firstEventMillis)
+        val limit = streamLimit(load, usualPassMillis)
+        val delayMillis = maxOf((load.started - limit) * intervalMillis, 0.0).toLong()
+        val freeStarts = maxOf(minOf(limit, places) - load.started, 0.0).toInt()
+        return StartForecast(delayMillis, intervalMillis, firstEventMillis, freeStarts, startSpacingMillis(load, usualPassMillis))
     }
 
     /** The shortest gap that a caller of the streams that would run together accepts. */
--- a/core/src/main/kotlin/io/jaybeam/core/admission/WaitPrediction.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/WaitPrediction.kt
@@ -33,12 +33,19 @@
  * @property delayMillis time until the first of them.
  * @property startIntervalMillis mean time from one to the next; null if unknown.
  * @property firstEventMillis time from the start of a request to its first event.
+ * @property freeStarts starts for which there is room already, which precede those at [startIntervalMillis].
+ * @property freeIntervalMillis time from one of these to the next.
  */
 public data class StartForecast(
     val delayMillis: Long,
     val startIntervalMillis: Double?,
     val firstEventMillis: Long,
-)
+    val freeStarts: Int = 0,
+    val freeIntervalMillis: Long = 0,
+) {
+    /** Time in which the free starts among the first [count] starts take place. */
+    internal fun freeMillis(count: Int): Long = minOf(count, freeStarts) * freeIntervalMillis
+}
 
 /** Time until [request] is expected to start. */
 public data class ExpectedWait<T>(
--- a/core/src/main/kotlin/io/jaybeam/core/admission/WaitingRoom.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/WaitingRoom.kt
@@ -110,15 +110,18 @@
         nowMillis: Long,
     ): Long {
         val intervalMillis = forecast.startIntervalMillis ?: return forecast.delayMillis
+        val freeMillis = forecast.delayMillis + forecast.freeMillis(ahead.all + 1)
+        if (ahead.all < forecast.freeStarts) return freeMillis
+        val turns = ahead.all + 1 - forecast.freeStarts
         if (request.isReturning) {
             val byShareMillis = (ahead.returning + 1) * intervalMillis / RETURNING_SHARE
-            return forecast.delayMillis + minOf((ahead.all + 1) * intervalMillis, byShareMillis).toLong()
+            return freeMillis + minOf(turns * intervalMillis, byShareMillis).toLong()
         }
         val floor = shares.floorOf(request.urgency, nowMillis)
         val shareLeft = maxOf(1 - shares.moreUrgentArrivalsPerMilli(request.urgency, nowMillis) * intervalMillis, floor)
-        val inTurnMillis = (ahead.all + 1) * intervalMillis / shareLeft
+        val inTurnMillis = turns * intervalMillis / shareLeft
         val byFloorMillis = (ahead.ofEqualUrgency + 1) * intervalMillis / floor
-        return forecast.delayMillis + minOf(inTurnMillis, byFloorMillis).toLong()
+        return freeMillis + minOf(inTurnMillis, byFloorMillis).toLong()
     }
 
     private fun placesAt(nowMillis: Long): List<Place<T>> {
