Requests that fit no rank's memory spread over the ranks with most room

Cause: if no rank had memory for a request, all entries chose the one with most room, by the same reports, and a rank without a report counted as empty but for the entry's own requests, so it drew every request while the others were full. Change: what others have placed since the reports takes memory too, and is spread over the ranks with most room, as their work is. A rank without a report has no more room than the others on average. Without unseen requests the choice is as before.

--- a/core/src/main/kotlin/io/jaybeam/core/fleet/GenerationPlacement.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/GenerationPlacement.kt
@@ -3,7 +3,8 @@
  *
  * All ranks of a group run each forward pass in lock-step, so the rank with the most work delays the others, and a long prompt
  * lengthens every pass until it is read. Ranks are compared by the time until the request's first event there and by the work
- * that they then have left. A rank without memory for the request is chosen only if all are, as the request would be preempted.
+ * that they then have left. A rank without memory for the request is chosen only if all are, as the request would be preempted;
+ * what other entries have placed since the reports is then spread over the ranks with most room, as it takes memory too.
  *
  * Each entry sees its own requests, and those of others only in reports of some age, so several would choose the same rank. What
  * others are expected to have placed since then is spread over the least loaded ranks, and the request is placed among these
@@ -82,13 +83,22 @@
         return sortedCosts.last()
     }
 
-    /** Returns the targets that have room for the request, or those with most room. */
+    /** Returns the targets that have room for the request, or those with most room after what other entries have placed since. */
     private fun withMostRoom(candidates: List<TargetLoad>): List<TargetLoad> {
-        val freeTokens = candidates.map { it.backlog.freeMemoryTokens ?: ownFreeTokens(it.backlog) }
+        val freeTokens = freeTokensOf(candidates)
         val roomy = candidates.filterIndexed { index, _ -> freeTokens[index] >= cost.memoryTokens }
         if (roomy.isNotEmpty()) return roomy
+        val unseenTokens = request.unseenRequests * UNSEEN_FACTOR * (engine.meanPromptTokens + engine.meanAnswerTokens)
+        val usedLevel = levelAfter(freeTokens.map { -it }.sorted(), if (unseenTokens > 0.0) cost.memoryTokens + unseenTokens else 0.0)
         val mostRoom = freeTokens.max()
-        return candidates.filterIndexed { index, _ -> freeTokens[index] >= mostRoom }
+        return candidates.filterIndexed { index, _ -> freeTokens[index] >= mostRoom || -freeTokens[index] < usedLevel }
+    }
+
+    /** Returns the room of [targets]; those without a report have no more than the others on average. */
+    private fun freeTokensOf(targets: List<TargetLoad>): List<Double> {
+        val reported = targets.mapNotNull { it.backlog.freeMemoryTokens }
+        val reportedMean = if (reported.isEmpty()) Double.MAX_VALUE else reported.average()
+        return targets.map { it.backlog.freeMemoryTokens ?: minOf(ownFreeTokens(it.backlog), reportedMean) }
     }
 
     private fun ownFreeTokens(backlog: Backlog) =
