Reports of a single group are used where they halve what entries do not know

Cause: loads of ranks reached entries only where a service had several groups, though many entries of a single group place better by them, and few worse. Change: areSingleGroupReportsUseful compares the variance of what entries round without reports with that of what others start between two reports, with all slots in use, from the configured engine, the ranks and the entries. Budgets and frames are unchanged.

--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/BenchmarkCommand.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/BenchmarkCommand.kt
@@ -14,7 +14,7 @@
 import kotlin.system.exitProcess
 
 /** The benchmarks, by the name on the command line. */
-internal enum class Measure { PLACEMENT, GROUP, ROUTING, PLACEMENT_COST, CAPACITY, SYSTEM, MOVE }
+internal enum class Measure { PLACEMENT, GROUP, ROUTING, PLACEMENT_COST, GROUP_REPORTS, CAPACITY, SYSTEM, MOVE }
 
 /** Reads the name of a benchmark, in which words are separated by hyphens. */
 internal class MeasureConverter : ITypeConverter<Measure> {
@@ -50,6 +50,7 @@
                 }
 
                 Measure.PLACEMENT_COST -> benchmarkPlacementCost(seed)
+                Measure.GROUP_REPORTS -> benchmarkSingleGroupReports(seed)
                 Measure.ROUTING -> benchmarkRouting(seed)
                 Measure.CAPACITY -> benchmarkCapacity()
                 Measure.SYSTEM -> benchmarkSystem()
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/LockStepModel.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/LockStepModel.kt
@@ -28,7 +28,7 @@
 private const val HINT_SPREAD = 0.8
 private const val SLOW_FACTOR = 1.6
 private const val EXPERT_SKEW = 0.3
-private const val REPORT_MILLIS = 100.0
+private const val REPORT_MILLIS = 100L
 private const val MODEL_MILLIS = 60_000.0
 private const val WARM_UP_MILLIS = 6_000.0
 
@@ -56,7 +56,10 @@
         meanPromptTokens = 868,
     )
 
-/** The load of a run: [requestsPerSecond] for each rank, [slowRanks] that work slowly, and the memory of each rank. */
+/**
+ * The load of a run: [requestsPerSecond] for each rank, [slowRanks] that work slowly, and the memory of each rank, which reports
+ * each [reportMillis].
+ */
 internal data class LockStepLoad(
     val ranks: Int,
     val entries: Int,
@@ -64,6 +67,7 @@
     val slowRanks: Int,
     val memoryTokens: Long,
     val expertShare: Double,
+    val reportMillis: Long = REPORT_MILLIS,
 )
 
 /** A request of the model. */
@@ -155,7 +159,7 @@
     }
 
     private fun reportIfDue() {
-        if (nowMillis - reportedMillis < REPORT_MILLIS) return
+        if (nowMillis - reportedMillis < load.reportMillis) return
         reportedMillis = nowMillis
         ranks.forEachIndexed { index, rank ->
             val used = rank.running.sumOf { it.contextTokens.toLong() }
--- a/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlacementCostBenchmark.kt
+++ b/benchmark/src/main/kotlin/io/jaybeam/benchmark/PlacementCostBenchmark.kt
@@ -15,7 +15,7 @@
 import io.jaybeam.core.fleet.chooseTarget
 import kotlin.random.Random
 
-private const val ON_TIME_MILLIS = 500.0
+internal const val ON_TIME_MILLIS = 500.0
 private const val LONGEST_GAP_MILLIS = 150.0
 private const val DATA_CENTRES = 3
 private const val LARGEST_SHARE = 0.1
@@ -98,7 +98,7 @@
 private fun share(requests: List<SizedRequest>, isCounted: (SizedRequest) -> Boolean) =
     format(100.0 * requests.count(isCounted) / maxOf(requests.size, 1), 2)
 
-private fun percentile(values: List<Double>): Double = values.sorted().let { it[(it.size * 0.95).toInt().coerceAtMost(it.size - 1)] }
+internal fun percentile(values: List<Double>): Double = values.sorted().let { it[(it.size * 0.95).toInt().coerceAtMost(it.size - 1)] }
 
 private class RoundRobin(
     load: LockStepLoad,
@@ -145,7 +145,7 @@
 }
 
 /** Runs the code of the product; with [basis] null it counts requests. */
-private class ByExpectedCost(
+internal class ByExpectedCost(
     private val load: LockStepLoad,
     seed: Long,
     nowMillis: () -> Long,
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -7,12 +7,14 @@
 import io.jaybeam.core.admission.StopAdmission
 import io.jaybeam.core.cost.CostEstimator
 import io.jaybeam.core.fleet.FleetStore
+import io.jaybeam.core.fleet.GroupReport
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.InstanceSettings
 import io.jaybeam.core.fleet.KnownGroup
 import io.jaybeam.core.fleet.RouteMatch
 import io.jaybeam.core.fleet.RouteTable
 import io.jaybeam.core.fleet.TargetNotices
+import io.jaybeam.core.fleet.areSingleGroupReportsUseful
 import io.jaybeam.core.recovery.GoneTargets
 import io.jaybeam.core.routing.RetryBudget
 import io.jaybeam.core.routing.initialRetriesPerInstance
@@ -76,7 +78,12 @@
     private val awakeClock = AwakeClock(clock)
     private val ownWork = OwnWork(awakeClock::nowMillis)
     private val groups =
-        GroupExchange({ service -> cache.snapshot.routes?.service(service) != null }, events, awakeClock::nowMillis)
+        GroupExchange(
+            { service -> cache.snapshot.routes?.service(service) != null },
+            events,
+            awakeClock::nowMillis,
+            areSingleGroupLoadsUseful = ::areSingleGroupLoadsUseful,
+        )
     private val loadExchange =
         LoadExchange(ownWork::loads, { cache.snapshot.hasSeveralUrgencies }, events, awakeClock::nowMillis)
     private val peers =
@@ -256,6 +263,14 @@
         metrics.recordCall(record.outcome, System.nanoTime() - arrivedNanos)
     }
 
+    private fun areSingleGroupLoadsUseful(report: GroupReport): Boolean {
+        val engine =
+            cache.snapshot.routes
+                ?.service(report.service)
+                ?.engine ?: return false
+        return areSingleGroupReportsUseful(engine, report.rankCount, peers.entryCount)
+    }
+
     private fun onGroupReport(known: KnownGroup, ageMillis: Long) {
         val report = known.report
         // While this is the only group that is known, others may exist whose targets are listed.
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/GroupExchange.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/GroupExchange.kt
@@ -10,6 +10,8 @@
 import io.jaybeam.core.cost.AgedRankLoad
 import io.jaybeam.core.fleet.ByteBudget
 import io.jaybeam.core.fleet.FleetTarget
+import io.jaybeam.core.fleet.GROUP_NEWS_BYTES_PER_SECOND
+import io.jaybeam.core.fleet.GROUP_NEWS_RECEIVERS
 import io.jaybeam.core.fleet.GroupKey
 import io.jaybeam.core.fleet.GroupNewsOutcome
 import io.jaybeam.core.fleet.GroupReport
@@ -26,11 +28,6 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.random.Random
 
-// Three receivers that pass a report on to three others reach nearly all entries.
-private const val RECEIVERS = 3
-
-// With what entries exchange otherwise, this stays below 3 KB a second.
-private const val BYTES_PER_SECOND = 2_000
 private const val BURST_BYTES = 4_000
 
 // Loads leave half of the burst to states, of which each entry needs one in a few seconds.
@@ -39,15 +36,19 @@
 private const val LOG_INTERVAL_MILLIS = 1_000L
 private const val MAX_LOGGED_CHARS = 80
 
-/** Keeps the [view] of one entry and passes news on. Thread-safe; [nowMillis] is monotonic. */
+/**
+ * Keeps the [view] of one entry and passes news on. Thread-safe; [nowMillis] is monotonic. [areSingleGroupLoadsUseful] tells whether
+ * loads are used if the group of a report is the only one of its service.
+ */
 internal class GroupExchange(
     private val isKnownService: (String) -> Boolean,
     private val events: EventLog,
     val nowMillis: () -> Long,
     private val random: Random = Random.Default,
+    private val areSingleGroupLoadsUseful: (GroupReport) -> Boolean = { false },
 ) {
     private val listeners = CopyOnWriteArrayList<(KnownGroup, Long) -> Unit>()
-    private val budget = ByteBudget(BYTES_PER_SECOND, BURST_BYTES)
+    private val budget = ByteBudget(GROUP_NEWS_BYTES_PER_SECOND, BURST_BYTES)
     private val statePassedOnAtMillis = HashMap<GroupKey, Long>()
     private var refusalLoggedAtMillis: Long? = null
 
@@ -56,22 +57,24 @@
     var view: GroupView = GroupView()
         private set
 
-    /** Whether loads decide anything: a request has several groups to go to. */
+    /** Whether loads decide anything: a request has several groups to go to, or a single one's ranks are chosen by their reports. */
     val areLoadsUseful: Boolean
         get() =
             view
                 .groups(nowMillis())
-                .groupingBy { it.report.service }
-                .eachCount()
-                .any { it.value > 1 }
+                .groupBy { it.report.service }
+                .any { (_, groups) -> areLoadsUsed(groups) }
 
-    /** Returns what [target] has reported as a rank; null if there is no recent report, or if its service has no choice of groups. */
+    /** Returns what [target] has reported as a rank; null if there is no recent report, or if loads of its service are not used. */
     fun reportedLoadOf(target: FleetTarget): AgedRankLoad? {
         val now = nowMillis()
-        if (view.groupsOf(target.service, now).size < 2) return null
+        if (!areLoadsUsed(view.groupsOf(target.service, now))) return null
         return view.reportedLoadOf(target.service, HostPort(target.host, target.port), now)
     }
 
+    private fun areLoadsUsed(groupsOfService: List<KnownGroup>): Boolean =
+        groupsOfService.size > 1 || groupsOfService.any { areSingleGroupLoadsUseful(it.report) }
+
     /** Calls [listener] with each group of which a new report has arrived, and the age of that report in milliseconds. */
     fun addListener(listener: (KnownGroup, Long) -> Unit) {
         listeners += listener
@@ -141,10 +144,10 @@
         val isStateDue = now - (statePassedOnAtMillis[key] ?: (now - STATE_INTERVAL_MILLIS)) >= STATE_INTERVAL_MILLIS
         if (hasUsefulLoads && availableShare >= LOADS_MIN_BUDGET_SHARE) {
             statePassedOnAtMillis[key] = now
-            send(news, receivers.shuffled(random).take(RECEIVERS))
+            send(news, receivers.shuffled(random).take(GROUP_NEWS_RECEIVERS))
         } else if (isStateDue && availableShare > 0) {
             statePassedOnAtMillis[key] = now
-            send(state, receivers.shuffled(random).take(RECEIVERS))
+            send(state, receivers.shuffled(random).take(GROUP_NEWS_RECEIVERS))
         }
         if (statePassedOnAtMillis.size > MAX_KEPT_TIMES) statePassedOnAtMillis.values.removeIf { now - it > STATE_INTERVAL_MILLIS }
     }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/GroupExchangeTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/GroupExchangeTest.kt
@@ -3,11 +3,14 @@
  */
 package io.jaybeam.entry.direct
 
+import io.jaybeam.core.fleet.FleetTarget
 import io.jaybeam.core.fleet.GroupReport
 import io.jaybeam.core.fleet.HostPort
 import io.jaybeam.core.fleet.LOAD_TRUST_MILLIS
 import io.jaybeam.core.fleet.RankLoad
 import io.jaybeam.core.fleet.STATE_TRUST_MILLIS
+import io.jaybeam.core.fleet.loadIntervalMillis
+import io.jaybeam.core.fleet.loadSpreadMillis
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.wire.CompactGroupReport
 import io.jaybeam.wire.Frame
@@ -49,6 +52,7 @@
     size: Int,
     linksPerEntry: Int,
     private val random: Random = Random(20_261_206),
+    areSingleGroupLoadsUseful: Boolean = false,
 ) {
     private class Delivery(
         val atMillis: Long,
@@ -78,7 +82,10 @@
     private val links = List(size) { mutableMapOf<Int, Link>() }
     val sentBytes = LongArray(size)
     var nowMillis = 1_000L
-    val entries = List(size) { GroupExchange({ it == SERVICE }, EventLog("entry-$it", Clock.System), { nowMillis }, Random(it)) }
+    val entries =
+        List(size) {
+            GroupExchange({ it == SERVICE }, EventLog("entry-$it", Clock.System), { nowMillis }, Random(it)) { areSingleGroupLoadsUseful }
+        }
 
     init {
         for (entry in 0 until size) {
@@ -142,6 +149,45 @@
         assertTrue(mesh.entries.all { it.areLoadsUseful })
     }
 
+    // Load: the reports of a single group, which many entries use to choose a rank.
+    @Test
+    fun `many entries get the loads of a single group as often as is counted on, within their budget`() {
+        listOf(12 to 28, 32 to 64).forEach { (ranks, entries) ->
+            val mesh = GroupMesh(entries, linksPerEntry = 10, areSingleGroupLoadsUseful = true)
+            val endMillis = mesh.nowMillis + 20_000
+            val ages = mutableListOf<Long>()
+            for (sequence in 1L..Long.MAX_VALUE) {
+                mesh.send(reportOf("g0", sequence, rankCount = ranks))
+                repeat(10) {
+                    mesh.runUntil(mesh.nowMillis + loadIntervalMillis(ranks) / 10)
+                    val known = mesh.entries.mapNotNull { it.view.group(SERVICE, "g0", mesh.nowMillis) }
+                    known.mapNotNullTo(ages) { it.loadsTrueAtMillis?.let(mesh.nowMillis::minus) }
+                }
+                if (mesh.nowMillis >= endMillis) break
+            }
+            val maxMeanMillis = loadSpreadMillis(ranks) / 2 + 2 * MAX_DELAY_MILLIS
+            assertTrue(
+                ages.average() <= maxMeanMillis,
+                "$ranks ranks, $entries entries: ${ages.average()} ms old instead of $maxMeanMillis",
+            )
+            val perSecond = mesh.sentBytes.max() / 20
+            assertTrue(perSecond <= MAX_BYTES_PER_SECOND, "$ranks ranks, $entries entries: up to $perSecond bytes a second")
+        }
+    }
+
+    @Test
+    fun `the loads of a single group are used and asked for only where they are useful`() {
+        val target = FleetTarget("t1", SERVICE, "10.0.1.1", 1_001, "north", 7, false, 0, 0)
+        listOf(false, true).forEach { areUseful ->
+            val mesh = GroupMesh(size = 3, linksPerEntry = 2, areSingleGroupLoadsUseful = areUseful)
+            mesh.runReports(listOf("g0"), 1_000)
+            mesh.entries.forEach {
+                assertEquals(areUseful, it.areLoadsUseful)
+                assertEquals(areUseful, it.reportedLoadOf(target) != null)
+            }
+        }
+    }
+
     @Test
     fun `a group that breaks is known as closed everywhere within a few hops`() {
         val mesh = GroupMesh(size = 17, linksPerEntry = 10)
--- a/side/src/main/kotlin/io/jaybeam/side/rank/ReportTiming.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/ReportTiming.kt
@@ -4,6 +4,8 @@
  */
 package io.jaybeam.side.rank
 
+import io.jaybeam.core.fleet.loadIntervalMillis
+
 // A shift of demand is detected in the second report after it.
 private const val MIN_REPORT_INTERVAL_MILLIS = 80L
 private const val REPORT_INTERVAL_MILLIS_PER_RANK = 6L
@@ -15,11 +17,6 @@
 private const val MAX_DEMAND_BYTES_PER_SECOND = 200_000L
 private const val MILLIS_PER_SECOND = 1_000L
 
-// Of the loads of its ranks, about 12 bytes each, a coordinator sends to three entries together some 9 KB a second, whatever the
-// size of the group. That is a hundredth of a link of 5 Mbit/s.
-private const val MIN_GROUP_NEWS_INTERVAL_MILLIS = 250L
-private const val GROUP_NEWS_INTERVAL_MILLIS_PER_RANK = 4L
-
 // Entries trust a group's state for several of these.
 private const val GROUP_STATE_INTERVAL_MILLIS = 1_000L
 
@@ -45,8 +42,4 @@
 
 /** Returns the interval at which a group's coordinator sends its state to entries, with the loads of its ranks if [areLoadsUseful]. */
 internal fun groupNewsIntervalMillis(groupSize: Int, areLoadsUseful: Boolean): Long =
-    if (areLoadsUseful) {
-        maxOf(MIN_GROUP_NEWS_INTERVAL_MILLIS, groupSize * GROUP_NEWS_INTERVAL_MILLIS_PER_RANK)
-    } else {
-        GROUP_STATE_INTERVAL_MILLIS
-    }
+    if (areLoadsUseful) loadIntervalMillis(groupSize) else GROUP_STATE_INTERVAL_MILLIS
