Findings of the reviews of the parts: map changes, waiting, frozen targets, reports, explain

Last moments are not reserved while there is room, and a request whose admission has to wait is not due. A target is not silent because its caller reads slowly, because the request waits for a slot, or because a group stalls whose ranks mostly have nothing to answer. Reports of a group that arrive less often than they are trusted are not used. Explain says WAIT where a stream waits, knows a full queue and absent targets, and sends odd keys back.

--- a/core/src/main/kotlin/io/jaybeam/core/admission/LastMoments.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/LastMoments.kt
@@ -41,6 +41,8 @@
     private fun reserve(place: WaitingPlace<T>) {
         val request = place.request
         val forecast = forecast(request)
+        // While there is room, starts do not wait for the ends that the interval counts, and the order of the places decides.
+        if (forecast.freeStarts > 0) return
         val intervalMillis = forecast.startIntervalMillis ?: return
         val readyAtMillis = nowMillis + forecast.delayMillis
         val last = lastStart(request.deadlineMillis - forecast.firstEventMillis - readyAtMillis, intervalMillis)
@@ -49,7 +51,7 @@
         if (!isOnTime && !starts.reserve(last)) return
         waitMillisByRequest[request] = forecast.delayMillis + ((last + 1) * intervalMillis).toLong()
         // Work that would be late, not lost, has no claim to start before its turn.
-        if (!isOnTime && starts.lastReserved == 0) due = request
+        if (!isOnTime && starts.lastReserved == 0 && forecast.delayMillis == 0L) due = request
     }
 
     private fun lastOnTime(remainingMillis: Long, intervalMillis: Double): Int =
--- a/core/src/main/kotlin/io/jaybeam/core/admission/WaitingRoom.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/WaitingRoom.kt
@@ -56,13 +56,18 @@
             waiting += request
             return RoomOffer.Waiting
         }
-        val evicted = waiting.maxWithOrNull(compareBy({ it.urgency }, { it.arrivedAtMillis })) ?: return RoomOffer.Full
-        if (evicted.urgency <= request.urgency) return RoomOffer.Full
+        val evicted = evictedFor(request) ?: return RoomOffer.Full
         waiting -= evicted
         waiting += request
         return RoomOffer.WaitingInsteadOf(evicted)
     }
 
+    /** Whether [offer] would let [request] wait. */
+    public fun hasPlaceFor(request: WaitingRequest<T>): Boolean = waiting.size < capacity || evictedFor(request) != null
+
+    private fun evictedFor(request: WaitingRequest<T>): WaitingRequest<T>? =
+        waiting.maxWithOrNull(compareBy({ it.urgency }, { it.arrivedAtMillis }))?.takeIf { it.urgency > request.urgency }
+
     /**
      * Returns the [eligible] request to start next, which remains in the room until [start]; null if none waits. A request that is
      * lost unless it starts now, by the [forecast] for it, precedes those that can wait ([LastMoments]).
@@ -116,7 +121,7 @@
         try {
             return expectedWaits(nowMillis, forecast).first { it.request === request }
         } finally {
-            waiting.removeLast()
+            waiting.removeAt(waiting.lastIndex)
         }
     }
 
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/SingleGroupReports.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/SingleGroupReports.kt
@@ -44,6 +44,8 @@
 /** Whether [entryCount] entries place requests better by the reports of [rankCount] ranks, which are the only group of a service. */
 public fun areSingleGroupReportsUseful(engine: EngineModel, rankCount: Int, entryCount: Int): Boolean {
     if (!engine.hasRequestCost || engine.meanAnswerTokens <= 0 || entryCount < 2) return false
+    // Reports that are too old to be trusted before the next ones arrive would change the way of placement again and again.
+    if (loadSpreadMillis(rankCount) > LOAD_TRUST_MILLIS) return false
     val others = entryCount - 1.0
     // Others start as many requests between two reports as before the mean age of a report and after it.
     val unseenStarts = engine.fullStartsPerMilli() * loadSpreadMillis(rankCount) * others / entryCount
--- a/core/src/main/kotlin/io/jaybeam/core/fleet/TargetSilence.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/TargetSilence.kt
@@ -50,6 +50,13 @@
         silentEndMillis = null
     }
 
+    /** Records output of [request]. Whether its answer goes on says nothing more: a caller that reads slowly keeps it back. */
+    @Synchronized
+    public fun onOutput(request: PlacedRequest) {
+        waits -= request
+        onSign()
+    }
+
     /** Records the end of [request], for whatever reason. */
     @Synchronized
     public fun onEnd(request: PlacedRequest) {
@@ -75,10 +82,12 @@
 public fun silenceBoundMillis(route: Route, readMillis: Double): Long =
     maxOf(route.objectiveMillis, route.maxEventGapMillis, LOST_PACKET_MILLIS) + readMillis.toLong()
 
-/** Returns those of [candidates] that should be used, or all if most of them are silent. */
+/** Returns those of [candidates] that should be used, or all if most of those that have requests to answer are silent. */
 internal fun withoutSilent(candidates: List<TargetLoad>): List<TargetLoad> {
     val silentCount = candidates.count { it.isSilent }
-    return if (silentCount == 0 || silentCount * 2 > candidates.size) candidates else candidates.filterNot { it.isSilent }
+    if (silentCount == 0) return candidates
+    val askedCount = candidates.count { it.isSilent || it.requestsInFlight > 0 }
+    return if (silentCount * 2 > askedCount && silentCount > 1) candidates else candidates.filterNot { it.isSilent }
 }
 
 // Time in which a lost packet is sent once more.
--- a/core/src/main/kotlin/io/jaybeam/core/rankgroup/PassStartPredictor.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/rankgroup/PassStartPredictor.kt
@@ -12,9 +12,11 @@
 
     /** Records that [pass] is the last pass known to have begun. */
     fun onPass(pass: Long, nowMillis: Long) {
+        val isContinuous = pass in lastPass..lastPass + MAX_PASS_GAP
+        // The group has formed again, or reports were missing.
+        if (!isContinuous) passRateMeter.clear()
         passRateMeter.onPass(pass, nowMillis)
         if (pass == lastPass) return
-        val isContinuous = pass in lastPass + 1..lastPass + MAX_PASS_GAP
         passDurationMillis = if (isContinuous) (nowMillis - lastPassAtMillis).toDouble() / (pass - lastPass) else 0.0
         lastPass = pass
         lastPassAtMillis = nowMillis
--- a/core/src/main/kotlin/io/jaybeam/core/rankgroup/UnansweredOrders.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/rankgroup/UnansweredOrders.kt
@@ -17,6 +17,9 @@
 private const val SINGLE_ORDERS = 3
 private const val MAX_REPEATS = 8
 
+// Several times the orders of a change of the largest group.
+private const val MAX_ORDERS = 8_192
+
 /** Counts orders by whether their first sending was answered, in the present map change and the one before. Not thread-safe. */
 internal class UnansweredOrders {
     private var isAnsweredByOrder = HashMap<FencedOrder, Boolean>()
@@ -30,6 +33,7 @@
 
     /** Records the outcome of [order]. Repeats do not count, so that a rank that never answers counts as one rank. */
     fun onOutcome(order: FencedOrder, outcome: OrderOutcome) {
+        if (isAnsweredByOrder.size >= MAX_ORDERS) return
         isAnsweredByOrder.putIfAbsent(order, outcome != OrderOutcome.UNKNOWN)
     }
 
--- a/core/src/test/kotlin/io/jaybeam/core/fleet/SingleGroupReportsTest.kt
+++ b/core/src/test/kotlin/io/jaybeam/core/fleet/SingleGroupReportsTest.kt
@@ -42,6 +42,13 @@
         assertFalse(areSingleGroupReportsUseful(short, 12, 64))
     }
 
+    @Test
+    fun `reports that arrive less often than they are trusted are not used, however many entries there are`() {
+        val long = engine.copy(meanAnswerTokens = 100_000)
+        assertTrue(areSingleGroupReportsUseful(long, 129, 600))
+        assertFalse(areSingleGroupReportsUseful(long, 200, 600))
+    }
+
     @Test
     fun `reports are not used where the cost of requests is not configured`() {
         assertFalse(areSingleGroupReportsUseful(engine.copy(readTokensPerSecond = 0.0), 12, 600))
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/AttemptCost.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/AttemptCost.kt
@@ -37,12 +37,19 @@
     private val cost = call.costAfter(writtenEvents)
     private val loadBefore = loads.of(target)
     private val startedNanos = nanoTime()
-    private val placed = loads.onRequestStart(target.id, cost, silenceBoundMillis(call.route, cost.readMillis))
+    private val placed = loads.onRequestStart(target.id, cost, silenceBoundMillis())
     private var outputNanos: Long? = null
 
     /** What is known when the attempt begins, for the log. */
     val record get() = PlacementRecord(cost, loadBefore.backlog)
 
+    /** Returns the time for which the target may send nothing; a request that waits for a slot says nothing of it. */
+    private fun silenceBoundMillis(): Long {
+        val backlog = loadBefore.backlog
+        if (loadBefore.requestsInFlight >= target.batchSlots) return Long.MAX_VALUE
+        return silenceBoundMillis(call.route, cost.readMillis + backlog.readMillis * backlog.slowness)
+    }
+
     /** Records output of the target after which [writtenEvents] of the whole answer were relayed. */
     fun onOutput(writtenEvents: Int) {
         if (outputNanos == null) outputNanos = nanoTime()
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/CallExecution.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/CallExecution.kt
@@ -34,7 +34,7 @@
     /** Group whose gate the target of the current attempt tells about; null for that of the service. */
     private var gateGroup: String? = null
 
-    /** Queue of the current run; null if the call does not wait for capacity. */
+    /** The stream of the current run at its queue; null if the call does not wait for capacity. */
     private var stream: StartedStream? = null
     private val isRankGroup = parts.recovery.isRankGroup(call.service)
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/ExplainPage.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/ExplainPage.kt
@@ -7,11 +7,11 @@
 import io.javalin.http.Context
 import io.jaybeam.core.cost.RequestSize
 import io.jaybeam.platform.CallerRequest
+import io.jaybeam.platform.decodeCallerRequest
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.Json
 
 internal const val EXPLAIN_PATH = "/explain"
-private const val BEARER_PREFIX = "Bearer "
 private const val BAD_REQUEST = 400
 private val json = Json { encodeDefaults = true }
 
@@ -40,13 +40,13 @@
     }
 
     private fun questionOf(context: Context): ExplainQuestion {
-        val key = context.header("Authorization")?.takeIf { it.startsWith(BEARER_PREFIX) }?.substring(BEARER_PREFIX.length)
+        val caller = decodeCallerRequest { name -> context.header(name)?.let { headerTextOrNull(it) ?: it } }
         val size =
             RequestSize(tokensOrNull(context, "promptTokens"), tokensOrNull(context, "maxTokens"), tokensOrNull(context, "hintTokens"))
         return ExplainQuestion(
             host = requireNotNull(context.queryParam("host")) { "the parameter host is missing" },
-            path = requireNotNull(context.queryParam("path")) { "the parameter path is missing" },
-            caller = CallerRequest(requestId = null, deadlineMillis = null, key = key, lastEventId = null, size = size),
+            path = requireNotNull(context.queryParam("path")) { "the parameter path is missing" }.substringBefore('?'),
+            caller = CallerRequest(requestId = null, deadlineMillis = null, key = caller.key, lastEventId = null, size = size),
         )
     }
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/RequestExplainer.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/RequestExplainer.kt
@@ -63,7 +63,7 @@
         snapshot: FleetSnapshot,
     ): RequestExplanation {
         val services = match.route.services
-        val totalWeight = services.sumOf { it.weight }.toDouble()
+        val totalWeight = maxOf(services.sumOf { it.weight.coerceAtLeast(0) }, 1).toDouble()
         return RequestExplanation(
             instance = instance,
             configVersion = snapshot.configVersion,
@@ -71,7 +71,7 @@
             route = match.route.name,
             organisation = match.organisation,
             urgency = match.urgency.rank,
-            services = services.map { explainAt(callTo(it.service, question, match, routes), it.weight / totalWeight) },
+            services = services.map { explainAt(callTo(it.service, question, match, routes), it.weight.coerceAtLeast(0) / totalWeight) },
         )
     }
 
@@ -141,12 +141,13 @@
     ): Decision {
         val gate = recovery.previewGate(call.service, group)
         return when {
-            previews.none { it.chance != null } -> Decision(ExplainedDecision.REFUSE, Refusal.NO_TARGET.remedy, null)
+            targets.isUnavailable(call.service) -> Decision(ExplainedDecision.REFUSE, "its targets leave or pause", null)
             gate is GateState.Closed -> decideAtClosedGate(call, gate)
+            previews.none { it.chance != null } -> Decision(ExplainedDecision.REFUSE, "no target takes requests", null)
             queue == null -> Decision(ExplainedDecision.START, "requests of this route do not wait for room", 0)
-            queue.isRefused -> Decision(ExplainedDecision.REFUSE, Refusal.NO_ROOM.remedy, queue.waitMillis)
-            queue.waitMillis > 0 -> Decision(ExplainedDecision.WAIT, "as many streams run as passes allow", queue.waitMillis)
-            else -> Decision(ExplainedDecision.START, "there is room", 0)
+            queue.mayStart -> Decision(ExplainedDecision.START, "there is room", 0)
+            queue.isRefused -> Decision(ExplainedDecision.REFUSE, "there is no room before its caller gives up", queue.waitMillis)
+            else -> Decision(ExplainedDecision.WAIT, "as many streams run as passes allow, or others wait", queue.waitMillis)
         }
     }
 
@@ -154,7 +155,7 @@
         val limitMillis = call.remainingMillis(call.arrivedNanos)
         val hold = holdPolicyOf(call.route, limitMillis).decide(gate, waitedMillis = 0, remainingMillis = limitMillis)
         val kind = if (hold is HoldDecision.Wait) ExplainedDecision.WAIT else ExplainedDecision.REFUSE
-        return Decision(kind, "the targets turn all requests away until their group is open again", gate.opensInMillis)
+        return Decision(kind, "no target is there, or all turn requests away until their group is open again", gate.opensInMillis)
     }
 
     private fun queuePreview(call: DirectCall, group: String?): StreamPreview? {
@@ -192,5 +193,9 @@
         )
 
     private fun reasonOf(unlikely: TargetChance) =
-        if (unlikely.load.isSilent) "it has sent nothing for longer than its requests accept" else "others have less work left or more memory"
+        if (unlikely.load.isSilent) {
+            "it has sent nothing for longer than its requests accept"
+        } else {
+            "others have less work left or more memory"
+        }
 }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueue.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueue.kt
@@ -101,9 +101,10 @@
                 waiting = room.size,
                 started = started,
                 passMillis = load.passMillis,
+                mayStart = mayStart,
                 waitMillis = if (mayStart) forecast.delayMillis else expected.waitMillis,
                 firstEventMillis = forecast.firstEventMillis,
-                isRefused = !mayStart && isHopeless(expected, forecast, now),
+                isRefused = !mayStart && (!room.hasPlaceFor(request) || isHopeless(expected, forecast, now)),
             )
         }
 
@@ -173,6 +174,7 @@
         lastDecisionMillis = now
         while (true) {
             val load = load(now)
+            if (room.requests().none { isStartable(it.value, load, now) }) break
             val next = room.next(now, { forecast(it.value, load, now) }) { it.value.hold.mayPass() } ?: break
             if (!mayStart(next.value, now)) break
             start(next, now)
@@ -180,8 +182,9 @@
         if (now - lastPredictionMillis >= RECHECK_INTERVAL_MILLIS) refuseHopeless(now)
     }
 
-    private fun mayStart(waiter: Waiter, now: Long): Boolean =
-        (waiter.hold.isClosed(now) || waiter.admission.canStart(load(now))) && waiter.hold.tryPass(now)
+    private fun mayStart(waiter: Waiter, now: Long): Boolean = isStartable(waiter, load(now), now) && waiter.hold.tryPass(now)
+
+    private fun isStartable(waiter: Waiter, load: StreamLoad, now: Long) = waiter.hold.isClosed(now) || waiter.admission.canStart(load)
 
     private fun start(request: WaitingRequest<Waiter>, now: Long) {
         val waiter = request.value
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueueOutcome.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueueOutcome.kt
@@ -65,14 +65,16 @@
  * @property waiting streams that wait.
  * @property started streams of this entry that were sent to a target and have not ended.
  * @property passMillis duration of recent passes; null if unknown.
+ * @property mayStart whether it would start at once.
  * @property waitMillis time until it is expected to start.
  * @property firstEventMillis time from its start to its first event.
- * @property isRefused whether its caller is expected to give up before its first event, so that it is refused at once.
+ * @property isRefused whether it is refused at once, as the queue is full or its caller is expected to give up before its first event.
  */
 internal data class StreamPreview(
     val waiting: Int,
     val started: Int,
     val passMillis: Long?,
+    val mayStart: Boolean,
     val waitMillis: Long,
     val firstEventMillis: Long,
     val isRefused: Boolean,
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetLoads.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetLoads.kt
@@ -53,7 +53,7 @@
     /** Records output of [request] at the target with [id], after which [restTokens] are expected. */
     fun onOutput(id: String, request: PlacedRequest, restTokens: Double) {
         load(id).backlog.onOutput(request, restTokens)
-        onSign(id)
+        load(id).silence.onOutput(request)
     }
 
     /** Records that the target with [id] took [actualMillis] for what usually takes [expectedMillis]. */
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetRecovery.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetRecovery.kt
@@ -71,8 +71,17 @@
     /** Whether requests to [group] of [service] are held back. */
     fun isClosed(service: String, group: String): Boolean = groupGates[GateKey(service, group)]?.isClosed == true
 
-    /** Returns the state of the gate of [group], or of all of [service] if that is null, as the targets' answers show it. */
-    fun previewGate(service: String, group: String?): GateState = groupGates[GateKey(service, group)]?.state(nowMillis()) ?: GateState.Open
+    /** Returns the state of the gate of [group], or of all of [service] if that is null, without a read of the list for it. */
+    fun previewGate(service: String, group: String?): GateState {
+        val key = GateKey(service, group)
+        return if (findsNoTarget(service)) GateState.Closed(null) else groupGates[key]?.state(nowMillis()) ?: GateState.Open
+    }
+
+    private fun findsNoTarget(service: String): Boolean {
+        val snapshot = cache.snapshot
+        val listed = snapshot.targets.availableTargets(service, snapshot.dataCentresOut)
+        return if (listed.isEmpty()) presence.isYoung else presence.present(listed).isEmpty()
+    }
 
     /** Whether the targets of [service] are ranks, which stand and fall together. */
     fun isRankGroup(service: String): Boolean =
@@ -184,7 +193,7 @@
 
         private fun awaitsTargets(nowMillis: Long): Boolean {
             if (checkedAtMillis == Long.MIN_VALUE || nowMillis - checkedAtMillis >= PRESENCE_CACHE_MILLIS) {
-                isAwaitingTargets = findsNoTarget()
+                isAwaitingTargets = findsNoTarget(service)
                 checkedAtMillis = nowMillis
             }
             if (isAwaitingTargets) requestTargetsRead(nowMillis)
@@ -196,11 +205,5 @@
             readRequestedAtMillis = nowMillis
             cache.requestTargetsRead()
         }
-
-        private fun findsNoTarget(): Boolean {
-            val snapshot = cache.snapshot
-            val listed = snapshot.targets.availableTargets(service, snapshot.dataCentresOut)
-            return if (listed.isEmpty()) presence.isYoung else presence.present(listed).isEmpty()
-        }
     }
 }
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSelector.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSelector.kt
@@ -64,7 +64,8 @@
             snapshot()
                 .targets.byId.values
                 .filter { it.service == service }
-        val reasons = listed.associateWith(::exclusionOf)
+        val present = listed(service).toSet()
+        val reasons = listed.associateWith { exclusionOf(it, it in present) }
         val candidates = listed.filter { reasons[it] == null }
         val preferred = if (group == null) candidates else preferred(service, group, candidates, emptySet())
         val engine = snapshot().routes?.service(service)?.engine
@@ -78,12 +79,12 @@
         }
     }
 
-    private fun exclusionOf(target: FleetTarget): TargetExclusion? {
+    private fun exclusionOf(target: FleetTarget, isPresent: Boolean): TargetExclusion? {
         val snapshot = snapshot()
         return when {
             target.isDraining || notices.isLeaving(target) -> TargetExclusion.LEAVING
             target.dataCentre in snapshot.dataCentresOut -> TargetExclusion.DATA_CENTRE_OUT
-            presence.present(listOf(target)).isEmpty() -> TargetExclusion.GONE
+            !isPresent -> TargetExclusion.GONE
             notices.pauseMillisOf(target) > 0 -> TargetExclusion.PAUSING
             isFullInColdStart(target, snapshot) -> TargetExclusion.COLD_START
             else -> null
--- a/entry/src/main/kotlin/io/jaybeam/entry/operator/ExplainCommand.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/operator/ExplainCommand.kt
@@ -54,9 +54,9 @@
 
     override fun call(): Int {
         val question = questionUrl() ?: return fail("$url is not a URL; specify it as http://ADDRESS:PORT", ExitCodes.INVALID_INPUT)
-        val request = Request.Builder().url(question)
-        key?.let { request.header("Authorization", "Bearer $it") }
         return try {
+            val request = Request.Builder().url(question)
+            key?.let { request.header("Authorization", "Bearer $it") }
             singleAttemptClient(HttpTimeouts(CONNECT_TIMEOUT_MILLIS, READ_TIMEOUT_MILLIS)).newCall(request.build()).execute().use {
                 printAnswer(it.code, it.body.string())
             }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/ExplainPageTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/ExplainPageTest.kt
@@ -136,6 +136,21 @@
         assertFalse(printed.err.contains("Exception"), printed.err)
     }
 
+    @Test
+    fun `a key that cannot be sent is answered with one line`() {
+        val printed = explain("http://127.0.0.1:1", "--host", "shop.example", "--path", "/safe/a", "--key", "k\u00e9y")
+        assertEquals(2, printed.exitCode)
+        assertEquals(
+            1,
+            printed.err
+                .trim()
+                .lines()
+                .size,
+            printed.err,
+        )
+        assertContains(printed.err, "--key cannot be sent")
+    }
+
     @Test
     fun `a size that is no number of tokens is refused with the name of its parameter`() {
         val (_, url) = startExplainedEntry(scriptedTarget { _, _ -> })
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/StreamQueueTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/StreamQueueTest.kt
@@ -20,6 +20,7 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 
@@ -270,4 +271,26 @@
         assertEquals(0, liveQueue.waitingCount)
         assertIs<StreamQueueOutcome.Passed>(await(arrival(1), target = liveQueue).outcome())
     }
+
+    @Test
+    fun `a previewed stream starts while there is room, waits once there is none, and takes no place`() {
+        assertTrue(queue.preview(start(arrival(1))).mayStart)
+        fillPlaces()
+        val preview = queue.preview(start(arrival(1)))
+        assertFalse(preview.mayStart)
+        assertFalse(preview.isRefused)
+        assertEquals(0 to PLACES, preview.waiting to preview.started)
+        endStream()
+        assertIs<StreamQueueOutcome.Passed>(await(arrival(1)).outcome())
+    }
+
+    @Test
+    fun `a previewed stream is refused by a full queue unless it is more urgent`() {
+        val small = StreamQueue(capacity = 1, nowMillis = clockMillis::get, random = Random(1))
+        repeat(PLACES) { assertIs<StreamQueueOutcome.Passed>(await(arrival(1), target = small).outcome()) }
+        await(arrival(1), target = small)
+        assertTrue(small.preview(start(arrival(1))).isRefused)
+        assertFalse(small.preview(start(arrival(0))).isRefused)
+        assertEquals(1, small.waitingCount)
+    }
 }
--- a/side/src/main/kotlin/io/jaybeam/side/rank/OrderSender.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/OrderSender.kt
@@ -12,6 +12,10 @@
 // An order is sent again after this time if it has not taken effect.
 private const val RESEND_INTERVAL_MILLIS = 500L
 
+// A late repeat of a hold may take a pass again that was released before it was due, and the group stands still until the release
+// is sent again.
+private const val RELEASE_RESEND_INTERVAL_MILLIS = 50L
+
 // A hold that is sent directly is normally answered within a few milliseconds. If it is not, it is also sent through the side
 // of its rank, which the rank treats as one hold, because the pass to be held comes nearer.
 private const val DIRECT_HOLD_ANSWER_MILLIS = 50L
@@ -51,7 +55,7 @@
         val isDirectPreferred = (order is FencedOrder.Hold && !isHoldOutcomeUnknown && !isDirectHoldUnanswered(order)) || isSilent
         val key = SentOrder(order, isRemote = isDirectPreferred && mayCallRanks())
         val lastSentAtMillis = sentAtMillis[key]
-        if (lastSentAtMillis != null && nowMillis() - lastSentAtMillis < RESEND_INTERVAL_MILLIS) return
+        if (lastSentAtMillis != null && nowMillis() - lastSentAtMillis < resendIntervalMillis(key)) return
         // Sent with one of the next calls, as the order stays due.
         if (order is FencedOrder.Prepare && !mapBudget.hasRoom()) return
         sentAtMillis[key] = nowMillis()
@@ -65,6 +69,9 @@
         }
     }
 
+    private fun resendIntervalMillis(sent: SentOrder) =
+        if (sent.order is FencedOrder.Release && !sent.isRemote) RELEASE_RESEND_INTERVAL_MILLIS else RESEND_INTERVAL_MILLIS
+
     private fun isDirectHoldUnanswered(order: FencedOrder.Hold): Boolean {
         val sentDirectlyAtMillis = sentAtMillis[SentOrder(order, isRemote = true)] ?: return false
         return nowMillis() - sentDirectlyAtMillis >= DIRECT_HOLD_ANSWER_MILLIS
--- a/side/src/test/kotlin/io/jaybeam/side/rank/HoldOrderTest.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/HoldOrderTest.kt
@@ -66,6 +66,17 @@
         assertEquals(listOf(0, 0, 1, 1), listOf(0L, 20L, 60L, 80L).map(::sendAt))
     }
 
+    // A hold that arrives late may take a pass again whose release was accepted before the pass was due.
+    @Test
+    fun `a release is sent again soon as long as the pass is held`() {
+        val release = FencedOrder.Release(rank = 1, epoch = 1, fence = 1, pass = 9)
+        sender.send(release, peer, isSilent = false, proposedMap = null)
+        sender.onReply(Frame.RankReply(release, OrderOutcome.ACCEPTED, null))
+        nowMillis = 50
+        sender.send(release, peer, isSilent = false, proposedMap = null)
+        assertEquals(2, link.frames.size)
+    }
+
     @Test
     fun `a hold without answer is reported at once instead of when the rank can be read`() {
         remoteRanks.reportLagMillis = REPORT_LAG_MILLIS
