--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/DirectEntry.kt
@@ -44,21 +44,6 @@
 /** Methods for which the HTTP client sends no body. */
 private val methodsWithoutBody = setOf("GET", "HEAD")
 
-/**
- * The stop of an entry, which began at [startedNanos].
- *
- * @property isRefusingAll whether no request is taken any more, because the connections are about to be closed.
- */
-private class Stop(
-    private val startedNanos: Long,
-    val admission: StopAdmission,
-) {
-    @Volatile
-    var isRefusingAll = false
-
-    fun elapsedMillis(): Long = (System.nanoTime() - startedNanos) / NANOS_PER_MILLI
-}
-
 /** Entry process that is configured by the platform's settings and store. */
 internal class DirectEntry(
     private val settings: InstanceSettings,
@@ -129,7 +114,7 @@
     private var isStopping = false
 
     @Volatile
-    private var stop: Stop? = null
+    private var stop: EntryStop? = null
 
     private val targetSelector =
         TargetSelector(settings.dataCentre, { cache.snapshot }, loads, notices, presence, peers::entryCount, groupSelector)
@@ -216,7 +201,7 @@
         events.write(LogEvent.PROCESS_STOPPING, LogField("inFlight", "${inFlight.get()}"))
         isStopping = true
         val limitMillis = settings.limits.shutdownGraceMillis - STOP_MARGIN_MILLIS
-        val currentStop = Stop(System.nanoTime(), StopAdmission(limitMillis)).also { stop = it }
+        val currentStop = EntryStop(System.nanoTime(), StopAdmission(limitMillis)).also { stop = it }
         while (currentStop.elapsedMillis() < limitMillis &&
             (currentStop.elapsedMillis() < OUT_OF_ROTATION_MILLIS || inFlight.get() > 0)
         ) {
