--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueue.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StreamQueue.kt
@@ -173,15 +173,20 @@
     private fun decide(now: Long) {
         lastDecisionMillis = now
         while (true) {
-            val load = load(now)
-            if (room.requests().none { isStartable(it.value, load, now) }) break
-            val next = room.next(now, { forecast(it.value, load, now) }) { it.value.hold.mayPass() } ?: break
-            if (!mayStart(next.value, now)) break
+            val next = nextStartableOrNull(now) ?: break
             start(next, now)
         }
         if (now - lastPredictionMillis >= RECHECK_INTERVAL_MILLIS) refuseHopeless(now)
     }
 
+    private fun nextStartableOrNull(now: Long): WaitingRequest<Waiter>? {
+        val load = load(now)
+        // Finding out that none can start costs less than finding the next one.
+        if (room.requests().none { isStartable(it.value, load, now) }) return null
+        val next = room.next(now, { forecast(it.value, load, now) }) { it.value.hold.mayPass() }
+        return next?.takeIf { mayStart(it.value, now) }
+    }
+
     private fun mayStart(waiter: Waiter, now: Long): Boolean = isStartable(waiter, load(now), now) && waiter.hold.tryPass(now)
 
     private fun isStartable(waiter: Waiter, load: StreamLoad, now: Long) = waiter.hold.isClosed(now) || waiter.admission.canStart(load)
