TargetClientTest waits until its closed server refuses connections

While a thread is blocked in accept(), close() of a server socket returns before the port refuses: one more connection is taken and reset, so that Lost is the right outcome. Not a fault of the product. Change: the test waits, with a limit, until the port refuses, and then asks for the same outcome as before.

--- a/side/src/test/kotlin/io/jaybeam/side/TargetClientTest.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/TargetClientTest.kt
@@ -2,7 +2,9 @@
 
 import io.jaybeam.wire.Frame
 import io.jaybeam.wire.HeaderField
+import java.io.IOException
 import java.io.OutputStream
+import java.net.ConnectException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -17,6 +19,7 @@
 private const val LARGE_BODY_BYTES = 33_554_432
 private const val STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 private const val EVENT = "data: a\n\n"
+private const val REFUSAL_LIMIT_NANOS = 5_000_000_000L
 
 internal class TargetClientTest {
     private val server = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))
@@ -128,10 +131,31 @@
         assertIs<CallOutcome.Lost>(outcomeOf("/lost"))
         assertEquals(listOf("/kept", "/lost"), paths)
         server.close()
+        awaitConnectionRefused(server.localPort)
         assertIs<CallOutcome.NotSent>(outcomeOf("/refused"))
         assertEquals(listOf("/kept", "/lost"), paths)
     }
 
+    // While a thread waits for a connection, one may still be accepted and reset after the server was closed.
+    private fun awaitConnectionRefused(port: Int) {
+        val startedNanos = System.nanoTime()
+        while (!isConnectionRefused(port)) {
+            check(
+                System.nanoTime() - startedNanos < REFUSAL_LIMIT_NANOS,
+            ) { "port $port still takes connections after its server was closed" }
+        }
+    }
+
+    private fun isConnectionRefused(port: Int): Boolean =
+        try {
+            Socket("127.0.0.1", port).close()
+            false
+        } catch (e: ConnectException) {
+            true
+        } catch (e: IOException) {
+            false
+        }
+
     private fun outcomeOf(path: String) = client.newCall(execute(path)).run(onHead = { _, _ -> }, onBytes = {})
 
     /** Serves all connections, with [answer] to each request by its path. */
