--- a/core/src/main/kotlin/io/jaybeam/core/admission/WaitingRoom.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/admission/WaitingRoom.kt
@@ -5,7 +5,8 @@
  * start helps its caller less and costs others their time. Then more urgent work precedes less urgent work; among equals, that of
  * organisations and sessions that were served least. Callers that return as they were told are late, but precede all others for
  * a share of the starts: without it most are refused again, and without a bound they would make all others late, who return in
- * their turn. The order ignores how large a request is, so large ones are not starved by small ones. Work of each urgency that is
+ * their turn. A late request that is lost unless it starts now precedes work that can wait for another start ([LastMoments]).
+ * The order ignores how large a request is, so large ones are not starved by small ones. Work of each urgency that is
  * passed over is started for a floor ([StartShares]), and less urgent work gains a rank for each [MILLIS_PER_RANK] that it has
  * waited, up to the rank behind the most urgent work that waits. What runs is not stopped for anything.
  */
