A connection carries each request id once, so that a late answer to an earlier sending is not taken for that to a later one

Cause: the answers on a connection were told apart by the request id alone. It identifies the caller's request and not a sending of it. A request that is turned away waits at its gate and is sent again, and it could take the connection on which it was turned away, where a second copy of the refusal came first.

Both new tests of ForeignAnswerTest failed on: 503 with one run, and the same socket for both sendings.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/TargetSender.kt
@@ -13,6 +13,7 @@
 import io.jaybeam.platform.withLastEventId
 import io.jaybeam.runtime.http.BoundedSocket
 import io.jaybeam.runtime.http.HttpTimeouts
+import io.jaybeam.runtime.http.RequestId
 import io.jaybeam.runtime.http.UNLIMITED_BODY
 import io.jaybeam.runtime.http.UnconnectedSocketFactory
 import io.jaybeam.runtime.http.WithdrawingSocket
@@ -176,6 +177,7 @@
                 .method(call.method, call.requestBody())
                 .headers(okHttpHeaders(if (lastEventId == null) headers else withLastEventId(headers, lastEventId)))
                 .tag(Progress::class.java, progress)
+                .tag(RequestId::class.java, call.caller.requestId?.let(::RequestId))
                 .build()
         // Without an id, only the first answer on a connection is known to belong to its request.
         val firstClient = if (call.caller.requestId == null) unpooledClient else client
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/ForeignAnswerTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/ForeignAnswerTest.kt
@@ -4,6 +4,9 @@
 package io.jaybeam.entry.direct
 
 import java.io.OutputStream
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -91,6 +94,41 @@
         }
     }
 
+    // Guards against taking the answer to an earlier sending of a request, which has the same id, for that to a later one.
+    @Test
+    fun `a second copy of the refusal of a request is not taken for the answer when the request is sent again`() {
+        val refusedSockets = CopyOnWriteArrayList<Socket>()
+        val runCount = AtomicInteger()
+        val restarted =
+            scriptedTarget { request, out ->
+                if (request.headers["expect-instance"] == "t0") {
+                    out.answer(request, "421 Misdirected Request", "")
+                    refusedSockets += request.socket
+                } else {
+                    if (request.socket in refusedSockets) out.answer(request, "421 Misdirected Request", "")
+                    runCount.incrementAndGet()
+                    out.answer(request, "200 OK", "done", "Response-Seal: s")
+                }
+            }
+        val port = startEntry(restarted)
+        thread(isDaemon = true) {
+            Thread.sleep(150)
+            announce("new", "plain", restarted.port)
+        }
+        val answer = connectCaller(port).call("POST", "/long/once/x")
+        assertEquals(200 to 1, answer.status to runCount.get())
+    }
+
+    @Test
+    fun `a request that is sent to a target again is sent over another connection`() {
+        val target = scriptedTarget { request, out -> out.answer(request, "200 OK", "done", "Response-Seal: s") }
+        val port = startEntry(target)
+        for (id in listOf("r1", "r2", "r1")) assertEquals(200, connectCaller(port).call("POST", "/once/x", requestId = id).status)
+        val sockets = target.requests.map { it.socket }
+        assertSame(sockets[0], sockets[1])
+        assertNotSame(sockets[0], sockets[2])
+    }
+
     @Test
     fun `a status that promises that a request did not run is relayed only if the target states so`() {
         for (status in listOf("408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable")) {
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/http/BoundedAnswers.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/BoundedAnswers.kt
@@ -35,18 +35,32 @@
     message: String,
 ) : IOException(message)
 
-/** The connection, which is new if [isNewConnection], has bytes that belong to no answer. No request was written. */
-public class UnexpectedBytesException(
+/** The connection, which is new if [isNewConnection], cannot carry the request. Nothing of it was written. */
+public sealed class UnusableConnectionException(
+    message: String,
     internal val isNewConnection: Boolean,
-) : IOException("the server sent bytes that belong to no answer")
+) : IOException(message)
+
+/** The connection has bytes that belong to no answer. */
+public class UnexpectedBytesException internal constructor(
+    isNewConnection: Boolean,
+) : UnusableConnectionException("the server sent bytes that belong to no answer", isNewConnection)
 
-/** A socket that fails if one step of an answer takes too many bytes, and before a request if bytes came that belong to no answer. */
+/** A request with the same id was sent over the connection before, so that answers to it could not be told apart. */
+public class RepeatedRequestIdException internal constructor() :
+    UnusableConnectionException("a request with the same id was sent over the connection before", isNewConnection = false)
+
+/**
+ * A socket that fails if one step of an answer takes too many bytes, and before a request whose answer could not be told from other bytes
+ * or answers.
+ */
 public open class BoundedSocket : Socket() {
     @Volatile
     private var stepBytes = 0
 
     // Guarded by itself: the HTTP client may check an idle connection in another thread.
     private val scanner = AnswerScanner()
+    private val sentRequestIds = RecentRequestIds()
     private var isHeadUnchecked = false
 
     @Volatile
@@ -64,14 +78,16 @@
     override fun getInputStream(): InputStream = input
 
     /**
-     * Records that a request is about to be written, with the method HEAD if [isHead].
+     * Records that a request is about to be written, with the method HEAD if [isHead] and with [requestId] if that is not null.
      *
      * @throws UnexpectedBytesException if bytes came behind the last answer, or if that has not ended.
+     * @throws RepeatedRequestIdException if a request with the same id was sent over this connection before.
      */
-    internal fun onRequestStart(isHead: Boolean) {
+    internal fun onRequestStart(isHead: Boolean, requestId: RequestId? = null) {
         synchronized(scanner) {
             val isClean = !isHeadUnchecked && scanner.isBetweenAnswers && input.available() == 0
             if (!isClean) throw UnexpectedBytesException(isNewConnection = requestCount == 0)
+            if (requestId != null && !sentRequestIds.add(requestId)) throw RepeatedRequestIdException()
             scanner.onRequestStart(isHead)
             isHeadUnchecked = true
         }
@@ -144,17 +160,18 @@
 }
 
 /**
- * Sends requests only over connections without unexpected bytes, splits the reading of an answer into steps and limits its body to
- * [maxBodyBytes]. A network interceptor.
+ * Sends requests only over connections on which their answers can be recognised, splits the reading of an answer into steps and limits
+ * its body to [maxBodyBytes]. A network interceptor.
  */
 internal class AnswerLimit(
     private val maxBodyBytes: Long,
 ) : Interceptor {
     override fun intercept(chain: Interceptor.Chain): Response {
         val socket = chain.connection()?.socket() as? BoundedSocket
-        socket?.onRequestStart(isHead = chain.request().method == "HEAD")
+        val request = chain.request()
+        socket?.onRequestStart(isHead = request.method == "HEAD", request.tag(RequestId::class.java))
         socket?.onStepStart()
-        val response = chain.proceed(chain.request())
+        val response = chain.proceed(request)
         val body = response.body
         val limited = LimitedSource(body.source(), socket).buffer().asResponseBody(body.contentType(), body.contentLength())
         return response.newBuilder().body(limited).build()
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/http/SingleAttemptClient.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/SingleAttemptClient.kt
@@ -53,7 +53,7 @@
         .retryOnConnectionFailure(false)
         .followRedirects(false)
         .followSslRedirects(false)
-        .addInterceptor(SurplusSkip)
+        .addInterceptor(UnusableConnectionSkip)
         .addInterceptor(Interceptor { it.proceed(it.request()).renameHeader(HIDDEN_RETRY_AFTER, RETRY_AFTER) })
         .socketFactory(UnconnectedSocketFactory(::BoundedSocket))
         .addNetworkInterceptor(AnswerLimit(maxBodyBytes))
@@ -72,15 +72,15 @@
         .build()
 
 /**
- * Sends a request again if the kept connection for it had unexpected bytes, as nothing was written then. Each such failure closes the
+ * Sends a request over another connection if a kept one could not carry it, as nothing was written then. Each such failure closes the
  * connection, and a new one is not tried again.
  */
-private object SurplusSkip : Interceptor {
+private object UnusableConnectionSkip : Interceptor {
     override fun intercept(chain: Interceptor.Chain): Response {
         repeat(MAX_SKIPPED_CONNECTIONS) {
             try {
                 return chain.proceed(chain.request())
-            } catch (e: UnexpectedBytesException) {
+            } catch (e: UnusableConnectionException) {
                 if (e.isNewConnection) throw e
             }
         }
