A status line that HTTP does not define is no answer

Callers got 600 and 999 with the seal of the target, and 200 for "HTTP/1.1" with digits that are not ASCII and for "ICY 200"; a negative status ended a safe request with 502 although another target was sound. The status 000, which others reported, was not relayed: 502.

Cause: the HTTP client parses status lines leniently, and only statuses below 200 were checked behind it. A negative status raises an IllegalStateException, which is no failure of a target.

Change: AnswerScanner, which follows the bytes before the HTTP client does, fails on any other status line than those of RFC 9110. Such an answer counts as broken off, in all HTTP clients. MalformedBodyException is now MalformedAnswerException.

--- a/runtime/src/main/kotlin/io/jaybeam/runtime/http/AnswerHead.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/AnswerHead.kt
@@ -56,7 +56,7 @@
 private fun isLength(value: String) = value.length in 1..MAX_LENGTH_DIGITS && value.all { it in '0'..'9' }
 
 /** Returns the beginning of [text] with `?` in place of each character that is not printable ASCII. */
-private fun printableExcerpt(text: String) = text.take(EXCERPT_LENGTH).map { if (it in ' '..'~') it else '?' }.joinToString("")
+internal fun printableExcerpt(text: String) = text.take(EXCERPT_LENGTH).map { if (it in ' '..'~') it else '?' }.joinToString("")
 
 private const val CONTENT_LENGTH = "Content-Length"
 private const val TRANSFER_ENCODING = "Transfer-Encoding"
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/http/AnswerScanner.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/AnswerScanner.kt
@@ -11,15 +11,15 @@
 package io.jaybeam.runtime.http
 
 private const val MAX_LINE_LENGTH = 256
-private const val STATUS_LINE_PREFIX = "HTTP/1."
-private const val STATUS_OFFSET = 9
-private const val STATUS_LENGTH = 3
 private const val HTTP_SWITCHING_PROTOCOLS = 101
 private const val HTTP_LOWEST_FINAL_STATUS = 200
 private const val HTTP_NO_CONTENT = 204
 private const val HTTP_NOT_MODIFIED = 304
 private const val HEX_RADIX = 16
 
+/** A status line with a status that HTTP defines (RFC 9110, section 15). The reason may be missing. */
+private val statusLine = Regex("HTTP/1\\.[0-9] ([1-5][0-9]{2})(?: .*)?")
+
 /** Finds the ends of answers. Not thread-safe. */
 internal class AnswerScanner {
     private enum class Part {
@@ -148,9 +148,9 @@
     }
 
     private fun onStatusLine(text: String) {
-        val statusOrNull = text.drop(STATUS_OFFSET).take(STATUS_LENGTH).toIntOrNull()
-        status = statusOrNull ?: 0
-        part = if (text.startsWith(STATUS_LINE_PREFIX) && statusOrNull != null) Part.HEADER else Part.BODY_UNTIL_CLOSE
+        val match = statusLine.matchEntire(text) ?: return fail("\"${printableExcerpt(text)}\" is no status line")
+        status = match.groupValues[1].toInt()
+        part = Part.HEADER
     }
 
     private fun onHeader(text: String) {
--- a/runtime/src/main/kotlin/io/jaybeam/runtime/http/BoundedAnswers.kt
+++ b/runtime/src/main/kotlin/io/jaybeam/runtime/http/BoundedAnswers.kt
@@ -30,8 +30,8 @@
     message: String,
 ) : IOException(message)
 
-/** The chunks of a body or the lines behind them are malformed, so it is not known where the answer ends. */
-public class MalformedBodyException(
+/** The status line, the chunks of the body or the lines behind them are malformed, so it is not known where the answer ends. */
+public class MalformedAnswerException(
     message: String,
 ) : IOException(message)
 
@@ -115,7 +115,7 @@
                 scanner.add(bytes, offset, count)
                 scanner.fault
             }
-        if (fault != null) throw MalformedBodyException(fault)
+        if (fault != null) throw MalformedAnswerException(fault)
         stepBytes += count
         if (stepBytes > MAX_STEP_BYTES) throw AnswerTooLargeException("more than $MAX_STEP_BYTES bytes with neither a head nor a body")
     }
--- a/runtime/src/test/kotlin/io/jaybeam/runtime/http/AnswerScannerTest.kt
+++ b/runtime/src/test/kotlin/io/jaybeam/runtime/http/AnswerScannerTest.kt
@@ -116,4 +116,25 @@
         add("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nHHTTP/1.1 500 Oops\r\n\r\n")
         assertEquals(null, scanner.fault)
     }
+
+    @Test
+    fun `a status line whose status is none is a fault`() {
+        val invalid =
+            listOf(
+                "HTTP/1.1 000 OK",
+                "HTTP/1.1 99 Odd",
+                "HTTP/1.1 600 Odd",
+                "HTTP/1.1 -20 Odd",
+                "HTTP/1.1 2000 OK",
+                "ICY 200 OK",
+                "",
+                "HTTP/1.1",
+            )
+        for (text in invalid) {
+            val scanner = AnswerScanner()
+            scanner.onRequestStart(isHead = false)
+            "$text\r\n".encodeToByteArray().let { scanner.add(it, 0, it.size) }
+            assertEquals("\"$text\" is no status line", scanner.fault)
+        }
+    }
 }
