A store that comes back from an older copy is read anew, and what was known stays in force meanwhile

Cause: positions were offsets, and lower ones were ignored; generations, which fencing tokens are made of, were given out again.

Change: the era is a part of each position and of each generation, so that comparisons and frames stay as they are. Answers of an earlier era than one that was seen are dropped. After a return everything is read anew; for two seconds, targets that the copy lacks stay, those that had left stay out, and data centres that were out stay out. The number of a term is given only in the era of its generation.

Now either log shows a return for both (FleetCacheTest).

--- a/core/src/main/kotlin/io/jaybeam/core/fleet/FleetStore.kt
+++ b/core/src/main/kotlin/io/jaybeam/core/fleet/FleetStore.kt
@@ -19,7 +19,7 @@
         override val detail: String,
     ) : StoreFault()
 
-    /** Records after the position have been deleted; read the latest records instead. */
+    /** Records after the position have been deleted, or the store came back from an older copy; read the latest records instead. */
     public data class Expired(
         override val detail: String,
     ) : StoreFault()
@@ -28,7 +28,7 @@
 /**
  * Updates read from a log.
  *
- * @property position position from which to continue reading.
+ * @property position position from which to continue reading. Positions rise, also when the store comes back from an older copy.
  * @property decodeErrors one error text for each record that could not be decoded.
  * @property decodeMillis time that decoding the records took.
  */
@@ -57,8 +57,8 @@
  * Time for which the store names one process coordinator of a group.
  *
  * @property isCoordinator whether this process is the coordinator.
- * @property generation increases with each change of the group's membership. A process that restarts before its registration expires
- *   is named coordinator in the same generation as before.
+ * @property generation increases with each change of the group's membership, also over returns of the store. A process that restarts
+ *   before its registration expires is named coordinator in the same generation as before.
  */
 public data class CoordinatorTerm(
     val isCoordinator: Boolean,
@@ -88,11 +88,13 @@
     ): Either<StoreFault, CoordinatorTerm>
 
     /**
-     * Returns the next number of [counter], at least 1 and higher than all that any process has received from it.
+     * Returns the number of the next term in [generation] of [group], at least 1 and higher than all that any process has received for
+     * it.
      *
-     * Numbers may be skipped, for example one whose answer was lost.
+     * Numbers may be skipped, for example one whose answer was lost. The call is refused if the store has come back from an older copy
+     * since this process was granted the generation.
      */
-    public fun nextNumber(counter: String): Either<StoreFault, Long>
+    public fun nextTermNumber(group: String, generation: Long): Either<StoreFault, Long>
 
     /** Returns the coordinator of [group], or null if there is none. */
     public fun coordinator(group: String): Either<StoreFault, HostPort?>
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/EntryMetrics.kt
@@ -8,6 +8,7 @@
 import io.jaybeam.core.fleet.KnownGroup
 import io.jaybeam.core.fleet.TargetLoad
 import io.jaybeam.core.fleet.TargetNotices
+import io.jaybeam.core.fleet.eraOfPosition
 import io.jaybeam.runtime.observe.metricsRegistry
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.DistributionSummary
@@ -59,6 +60,11 @@
         Gauge.builder("jaybeam.entry.groups.age.millis") { oldestGroupAgeMillis() }.register(registry)
         Gauge.builder("jaybeam.config.version") { cache.snapshot.configVersion }.register(registry)
         Gauge.builder("jaybeam.targets.age.millis") { targetsAgeMillis() }.register(registry)
+        Gauge
+            .builder(
+                "jaybeam.store.era",
+            ) { eraOfPosition(cache.snapshot.run { maxOf(operatorPosition, targetsPosition) }) }
+            .register(registry)
     }
 
     /** Records the outcome of a call that took [durationNanos]. */
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
@@ -1,6 +1,7 @@
 /*
  * Merges updates from the store and from other entries into one [FleetSnapshot]. An update whose
- * configuration version or log position is lower than the current one is ignored.
+ * configuration version or log position is lower than the current one is ignored. If the store comes back from an older copy, what was in
+ * force is kept for a time (see StoreReturn.kt). Peers exchange what the store gave, not what is kept.
  */
 package io.jaybeam.entry.direct
 
@@ -11,6 +12,7 @@
 import io.jaybeam.core.fleet.RouteTable
 import io.jaybeam.core.fleet.TargetTable
 import io.jaybeam.core.fleet.TargetUpdate
+import io.jaybeam.core.fleet.eraOfPosition
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.runtime.observe.LogEvent
 import io.jaybeam.runtime.observe.LogField
@@ -49,6 +51,12 @@
             changeListeners.forEach { it(value, firstTargetsPosition) }
         }
 
+    private val storedTargets = StoredTargets { nanoTime() / NANOS_PER_MILLI }
+    private val storedDataCentres = StoredDataCentres { nanoTime() / NANOS_PER_MILLI }
+
+    /** The highest era of the store in the positions that were read. */
+    private var era = 0L
+
     @Volatile
     private var targetsReadRequestedAtNanos: Long? = null
 
@@ -93,8 +101,9 @@
             newRoutes?.let(::putInForce)
             val isNewer = page.position > snapshot.operatorPosition
             if (isNewer && (from == UNREAD || from == snapshot.operatorPosition)) {
-                setDataCentresOut(applyDataCentreUpdates(if (from == UNREAD) emptySet() else snapshot.dataCentresOut, page.updates))
-                snapshot = snapshot.copy(operatorPosition = page.position)
+                val previous = if (from == UNREAD) emptySet() else storedDataCentres.storedOut
+                val updates = if (from == UNREAD) emptyList() else page.updates
+                setDataCentresOut(applyDataCentreUpdates(previous, page.updates), page.position, updates)
             }
             snapshot = snapshot.copy(routesReadAtNanos = nanoTime())
             if (!isNewer) return
@@ -108,7 +117,8 @@
         synchronized(this) {
             if (from != UNREAD && from != snapshot.targetsPosition) return
             if (page.position < snapshot.targetsPosition) return
-            setTargets((if (from == UNREAD) TargetTable() else snapshot.targets).withUpdates(page.updates), page.position)
+            val previous = if (from == UNREAD) TargetTable() else storedTargets.stored
+            setTargets(previous.withUpdates(page.updates), page.position, if (from == UNREAD) emptyList() else page.updates)
             snapshot = snapshot.copy(targetsReadAtNanos = nanoTime())
         }
         listeners.forEach { it(snapshot) }
@@ -133,35 +143,44 @@
             if (isAhead) Frame.FleetRequest(snapshot.configVersion, snapshot.operatorPosition, snapshot.targetsPosition) else null
         }
 
-    /** Returns the state that a peer lacks according to its [request]. */
-    fun stateFor(request: Frame.FleetRequest): Frame.FleetState {
+    /** Returns the state that a peer lacks according to its [request], as the store gave it. */
+    fun stateFor(request: Frame.FleetRequest): Frame.FleetState = synchronized(this) { storedStateFor(request) }
+
+    private fun storedStateFor(request: Frame.FleetRequest): Frame.FleetState {
         val current = snapshot
         if (request.isTargetsOnly) {
             return Frame.FleetState(
                 config = null,
                 dataCentresOut = emptyList(),
                 operatorPosition = UNREAD,
-                targets = current.targetsAfter(request),
+                targets = targetsAfter(request),
                 targetsPosition = current.targetsPosition,
             )
         }
         return Frame.FleetState(
             config = current.routes?.config?.takeIf { it.version > request.configVersion },
-            dataCentresOut = current.dataCentresOut.toList(),
+            dataCentresOut = storedDataCentres.storedOut.toList(),
             operatorPosition = current.operatorPosition,
-            targets = current.targetsAfter(request),
+            targets = targetsAfter(request),
             targetsPosition = current.targetsPosition,
         )
     }
 
+    private fun targetsAfter(request: Frame.FleetRequest): List<FleetTarget>? =
+        if (snapshot.targetsPosition > request.targetsPosition) {
+            storedTargets.stored.byId.values
+                .toList()
+        } else {
+            null
+        }
+
     /** Applies the parts of a peer's [state] that are newer than the local state. */
     fun onPeerState(state: Frame.FleetState) {
         val newRoutes = state.config?.let { newRoutesOrNull(it, "peer") }
         synchronized(this) {
             newRoutes?.let(::putInForce)
             if (state.operatorPosition > snapshot.operatorPosition) {
-                setDataCentresOut(state.dataCentresOut.toSet())
-                snapshot = snapshot.copy(operatorPosition = state.operatorPosition)
+                setDataCentresOut(state.dataCentresOut.toSet(), state.operatorPosition)
             }
             val targets = state.targets
             if (targets != null && state.targetsPosition > snapshot.targetsPosition) {
@@ -201,13 +220,54 @@
         )
     }
 
-    private fun setDataCentresOut(out: Set<String>) {
+    /**
+     * Brings into force what the store lists, after the time for which this entry kept what it had known before the store came back from an
+     * older copy.
+     */
+    fun endRetention() {
+        synchronized(this) {
+            if (storedDataCentres.inForceOut != snapshot.dataCentresOut) bringDataCentresIntoForce()
+            if (!storedTargets.isRetentionOver) return
+            storedTargets.endRetentionInTime()
+            bringTargetsIntoForce(snapshot.targetsPosition)
+        }
+    }
+
+    /** Begins to keep what is in force if [position], that of a read log, shows that the store has come back from an older copy. */
+    private fun noteEra(position: Long) {
+        if (eraOfPosition(position) <= era) return
+        era = eraOfPosition(position)
+        if (snapshot.operatorPosition == UNREAD && snapshot.targetsPosition == UNREAD) return
+        events.write(LogEvent.STORE_RETURNED, LogField("era", "$era"))
+        storedTargets.onReturn()
+        storedDataCentres.onReturn()
+    }
+
+    private fun setDataCentresOut(out: Set<String>, position: Long, updates: List<OperatorUpdate> = emptyList()) {
+        noteEra(position)
+        // The other log may have shown the return some time ago.
+        if (isReturn(snapshot.operatorPosition, position)) storedDataCentres.onReturn()
+        storedDataCentres.onRead(out, updates)
+        bringDataCentresIntoForce()
+        snapshot = snapshot.copy(operatorPosition = position)
+    }
+
+    private fun bringDataCentresIntoForce() {
+        val out = storedDataCentres.inForceOut
         if (out != snapshot.dataCentresOut) events.write(LogEvent.DATA_CENTRE_CHANGED, LogField("out", out.sorted().joinToString(",")))
         snapshot = snapshot.copy(dataCentresOut = out)
     }
 
-    private fun setTargets(targets: TargetTable, position: Long) {
+    private fun setTargets(targets: TargetTable, position: Long, updates: List<TargetUpdate> = emptyList()) {
         if (firstTargetsPosition == null) firstTargetsPosition = position
+        noteEra(position)
+        if (isReturn(snapshot.targetsPosition, position)) storedTargets.onReturn()
+        storedTargets.onRead(targets, updates)
+        bringTargetsIntoForce(position)
+    }
+
+    private fun bringTargetsIntoForce(position: Long) {
+        val targets = storedTargets.inForce
         val previousIds = snapshot.targets.activeIds()
         val currentIds = targets.activeIds()
         snapshot = snapshot.copy(targets = targets, coldStartEndNanosById = coldStartEndNanosById(targets), targetsPosition = position)
@@ -255,8 +315,8 @@
         page.decodeErrors.forEach { events.write(LogEvent.RECORD_UNUSABLE, LogField("detail", it)) }
 }
 
-private fun FleetSnapshot.targetsAfter(request: Frame.FleetRequest): List<FleetTarget>? =
-    if (targetsPosition > request.targetsPosition) targets.byId.values.toList() else null
+/** Whether the store came back from an older copy between the reads up to [previous] and up to [position]. */
+private fun isReturn(previous: Long, position: Long): Boolean = previous != UNREAD && eraOfPosition(position) > eraOfPosition(previous)
 
 private fun TargetTable.activeIds(): Set<String> =
     byId.values
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetWatcher.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetWatcher.kt
@@ -59,6 +59,7 @@
         val maxAgeMillis = TARGETS_READ_INTERVAL_MILLIS + Random.nextLong(TARGETS_READ_JITTER_MILLIS)
         val requestedReadDelayMillis = Random.nextLong(REQUESTED_READ_JITTER_MILLIS)
         while (cache.snapshot.targetsPosition != UNREAD) {
+            cache.endRetention()
             val ageMillis = (System.nanoTime() - cache.snapshot.targetsReadAtNanos) / NANOS_PER_MILLI
             if (ageMillis >= maxAgeMillis) return
             if ((cache.requestedReadAgeMillis() ?: -1) >= requestedReadDelayMillis) return
@@ -87,7 +88,8 @@
             mustReadAll = readsAll || fault is StoreFault.Expired
             if (!isStoreLost) events.write(LogEvent.STORE_LOST, LogField("follower", name), LogField("detail", fault.detail))
             isStoreLost = true
-            Thread.sleep(RETRY_DELAY_MILLIS)
+            // The latest records can be read at once, unless that is what failed.
+            if (readsAll || fault !is StoreFault.Expired) Thread.sleep(RETRY_DELAY_MILLIS)
         }
 
         private fun onSuccess() {
--- /dev/null
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StoreReturn.kt
@@ -0,0 +1,122 @@
+/*
+ * What an entry keeps in force for a time after the store came back from an older copy.
+ *
+ * Targets and the operator write what the copy lacks again within about two seconds. Until then, the list of targets that the store gives
+ * is completed by what was known, and a data centre that was out stays out. What is missing after that time is gone.
+ */
+package io.jaybeam.entry.direct
+
+import io.jaybeam.core.fleet.OperatorUpdate
+import io.jaybeam.core.fleet.RetainedTargets
+import io.jaybeam.core.fleet.TargetTable
+import io.jaybeam.core.fleet.TargetUpdate
+
+// No longer than a target that was withdrawn may still get requests.
+private const val RETENTION_MILLIS = 2_000L
+
+// Longer than a copy is old. A target that was withdrawn before is not in it.
+private const val WITHDRAWAL_MEMORY_MILLIS = 60_000L
+private const val MAX_WITHDRAWALS = 4_096
+
+/** Starts of the targets that were withdrawn in the last minute, by id. Not thread-safe. */
+internal class RecentWithdrawals(
+    private val nowMillis: () -> Long,
+) {
+    private class Withdrawal(
+        val startedAtEpochMillis: Long,
+        val atMillis: Long,
+    )
+
+    private val byId = LinkedHashMap<String, Withdrawal>()
+
+    /** Records the difference between the lists [previous] and [current] of the store. */
+    fun onChange(previous: TargetTable, current: TargetTable) {
+        previous.byId.values.filter { it.id !in current.byId }.forEach {
+            byId.remove(it.id)
+            byId[it.id] = Withdrawal(it.startedAtEpochMillis, nowMillis())
+        }
+        val oldestMillis = nowMillis() - WITHDRAWAL_MEMORY_MILLIS
+        val entries = byId.values.iterator()
+        while (entries.hasNext() && (entries.next().atMillis < oldestMillis || byId.size > MAX_WITHDRAWALS)) entries.remove()
+    }
+
+    fun starts(): Map<String, Long> = byId.mapValues { (_, withdrawal) -> withdrawal.startedAtEpochMillis }
+}
+
+/** The targets that the store lists, and those that are in force. Not thread-safe. */
+internal class StoredTargets(
+    private val nowMillis: () -> Long,
+) {
+    private class Retention(
+        val targets: RetainedTargets,
+        val endMillis: Long,
+    )
+
+    private val withdrawals = RecentWithdrawals(nowMillis)
+    private var retention: Retention? = null
+
+    /** The targets that the store lists. */
+    var stored = TargetTable()
+        private set
+
+    /** Whether [inForce] is more than the store lists, or less. */
+    val isRetaining: Boolean get() = retention != null
+
+    /** Whether the time for which [inForce] differs from what the store lists has passed. */
+    val isRetentionOver: Boolean get() = retention?.let { nowMillis() >= it.endMillis } == true
+
+    /** The targets in force. */
+    val inForce: TargetTable get() = retention?.targets?.inForce(stored) ?: stored
+
+    /** Begins to retain the targets in force, as the store has come back from an older copy. */
+    fun onReturn() {
+        retention = Retention(RetainedTargets(inForce, withdrawals.starts()), nowMillis() + RETENTION_MILLIS)
+    }
+
+    /** Ends the retention if its time is over. */
+    fun endRetentionInTime() {
+        if (isRetentionOver) retention = null
+    }
+
+    /** Takes over the list [targets] of the store, which [updates] have changed if they are known one by one. */
+    fun onRead(targets: TargetTable, updates: List<TargetUpdate> = emptyList()) {
+        // After a return, what the copy lacks has not been withdrawn.
+        if (retention == null) withdrawals.onChange(stored, targets)
+        retention = retention?.let { Retention(it.targets.withUpdates(updates), it.endMillis) }
+        stored = targets
+        endRetentionInTime()
+    }
+}
+
+/** The data centres that are out of service according to the store, and those that get no new work. Not thread-safe. */
+internal class StoredDataCentres(
+    private val nowMillis: () -> Long,
+) {
+    private var retained = emptySet<String>()
+    private var retentionEndMillis = 0L
+
+    /** The data centres that are out of service according to the store. */
+    var storedOut = emptySet<String>()
+        private set
+
+    /** The data centres that get no new work. */
+    val inForceOut: Set<String> get() = if (nowMillis() < retentionEndMillis) storedOut + retained else storedOut
+
+    /** Begins to keep the data centres out that are, as the store has come back from an older copy. */
+    fun onReturn() {
+        retained = inForceOut
+        retentionEndMillis = nowMillis() + RETENTION_MILLIS
+    }
+
+    /** Takes over the list [out] of the store, which [updates] have changed if they are known one by one. */
+    fun onRead(out: Set<String>, updates: List<OperatorUpdate> = emptyList()) {
+        storedOut = out
+        retained =
+            retained -
+            updates
+                .filterIsInstance<OperatorUpdate.DataCentreChanged>()
+                .filterNot { it.isOutOfService }
+                .map { it.dataCentre }
+                .toSet()
+    }
+}
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/WarmUp.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/WarmUp.kt
@@ -138,7 +138,7 @@
         lifetimeMillis: Long,
     ): Either<StoreFault, CoordinatorTerm> = CoordinatorTerm(isCoordinator = false, generation = 1).right()
 
-    override fun nextNumber(counter: String): Either<StoreFault, Long> =
+    override fun nextTermNumber(group: String, generation: Long): Either<StoreFault, Long> =
         StoreFault.Refused("the store of the warm-up has no counters").left()
 
     override fun coordinator(group: String): Either<StoreFault, HostPort?> = null.right()
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/FixedStore.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/FixedStore.kt
@@ -148,7 +148,8 @@
         lifetimeMillis: Long,
     ): Either<StoreFault, CoordinatorTerm> = StoreFault.Refused("not supported by this store").left()
 
-    override fun nextNumber(counter: String): Either<StoreFault, Long> = StoreFault.Refused("not supported by this store").left()
+    override fun nextTermNumber(group: String, generation: Long): Either<StoreFault, Long> =
+        StoreFault.Refused("not supported by this store").left()
 
     override fun coordinator(group: String): Either<StoreFault, HostPort?> = null.right()
 }
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
@@ -6,6 +6,7 @@
 import io.jaybeam.core.fleet.LogPage
 import io.jaybeam.core.fleet.OperatorUpdate
 import io.jaybeam.core.fleet.TargetUpdate
+import io.jaybeam.core.fleet.logPosition
 import io.jaybeam.runtime.observe.EventLog
 import io.jaybeam.wire.Frame
 import kotlin.test.Test
@@ -146,6 +147,23 @@
         assertEquals(UNREAD, cache.snapshot.configVersion)
     }
 
+    // Guards against a data centre that is back because its own log is read later than the other one.
+    @Test
+    fun `data centres stay out from the moment at which either log shows that the store came back`() {
+        val isOut = OperatorUpdate.DataCentreChanged("north", isOutOfService = true)
+        cache.onOperatorPage(UNREAD, LogPage(listOf(isOut), logPosition(era = 0, offset = 5), emptyList()))
+        cache.onTargetsPage(UNREAD, announced(logPosition(era = 0, offset = 12), "a"))
+        cache.onOperatorPage(UNREAD, LogPage(emptyList(), logPosition(era = 1, offset = 3), emptyList()))
+        nowNanos += 1_900 * NANOS_PER_MILLI
+        cache.onTargetsPage(UNREAD, announced(logPosition(era = 2, offset = 1), "a"))
+        nowNanos += 200 * NANOS_PER_MILLI
+        cache.endRetention()
+        assertEquals(setOf("north"), cache.snapshot.dataCentresOut)
+        nowNanos += 2_000 * NANOS_PER_MILLI
+        cache.endRetention()
+        assertEquals(emptySet(), cache.snapshot.dataCentresOut)
+    }
+
     private fun newCache() = FleetCache(EventLog("test", Clock.System)) { nowNanos }
 
     private fun config(version: Long) = FleetConfig(version, emptyList(), emptyList(), emptyList(), CallerLimits(1, 1, 1, 1))
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/GroupNewsLinkTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/GroupNewsLinkTest.kt
@@ -56,7 +56,7 @@
         lifetimeMillis: Long,
     ): Either<StoreFault, CoordinatorTerm> = fault()
 
-    override fun nextNumber(counter: String): Either<StoreFault, Long> = fault()
+    override fun nextTermNumber(group: String, generation: Long): Either<StoreFault, Long> = fault()
 
     override fun coordinator(group: String): Either<StoreFault, HostPort?> = null.right()
 }
--- a/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
+++ b/side/src/main/kotlin/io/jaybeam/side/rank/CoordinatorElection.kt
@@ -138,7 +138,7 @@
             // Tokens of a generation that has passed are not begun with. While members come or go, the next join brings another one.
             if (!coordinator.isCoordinating) coordinator.continueTerm(fences = null)
             if (hasGenerationChanged) return
-            val number = store.nextNumber("$topic-terms-$generation").fold({ return onStoreFault(it) }, { it })
+            val number = store.nextTermNumber(topic, generation).fold({ return onStoreFault(it) }, { it })
             fences = fenceRangeOrNull(generation, number)
             fencesGeneration = generation
             // A new generation, which has tokens again, begins when this process's registration has expired.
--- a/side/src/test/kotlin/io/jaybeam/side/rank/InProcessGroup.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/InProcessGroup.kt
@@ -226,8 +226,8 @@
             CoordinatorTerm(coordinator == address, this.generation).right()
         }
 
-    override fun nextNumber(counter: String): Either<StoreFault, Long> =
-        synchronized(this) { numbers.merge(counter, 1, Long::plus)!!.right() }
+    override fun nextTermNumber(group: String, generation: Long): Either<StoreFault, Long> =
+        synchronized(this) { numbers.merge("$group-terms-$generation", 1, Long::plus)!!.right() }
 
     override fun coordinator(group: String): Either<StoreFault, HostPort?> = coordinator.right()
 
--- a/side/src/test/kotlin/io/jaybeam/side/rank/RankTestSettings.kt
+++ b/side/src/test/kotlin/io/jaybeam/side/rank/RankTestSettings.kt
@@ -52,7 +52,8 @@
         lifetimeMillis: Long,
     ): Either<StoreFault, CoordinatorTerm> = CoordinatorTerm(isCoordinator = false, generation).right()
 
-    override fun nextNumber(counter: String): Either<StoreFault, Long> = StoreFault.Refused("not supported by this store").left()
+    override fun nextTermNumber(group: String, generation: Long): Either<StoreFault, Long> =
+        StoreFault.Refused("not supported by this store").left()
 
     override fun coordinator(group: String): Either<StoreFault, HostPort?> = null.right()
 }
