Store returns: a target that was withdrawn after a return stays out over the next one

Found by reading the change; the new test of FleetCacheTest failed before ([a, b] instead of [a]) and passes.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/EntryMetrics.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/EntryMetrics.kt
@@ -60,11 +60,7 @@
         Gauge.builder("jaybeam.entry.groups.age.millis") { oldestGroupAgeMillis() }.register(registry)
         Gauge.builder("jaybeam.config.version") { cache.snapshot.configVersion }.register(registry)
         Gauge.builder("jaybeam.targets.age.millis") { targetsAgeMillis() }.register(registry)
-        Gauge
-            .builder(
-                "jaybeam.store.era",
-            ) { eraOfPosition(cache.snapshot.run { maxOf(operatorPosition, targetsPosition) }) }
-            .register(registry)
+        Gauge.builder("jaybeam.store.era") { storeEra() }.register(registry)
     }
 
     /** Records the outcome of a call that took [durationNanos]. */
@@ -136,6 +132,8 @@
 
     private fun oldestGroupAgeMillis() = groups.nowMillis().let { now -> knownGroups().maxOfOrNull { now - it.trueAtMillis } ?: 0 }
 
+    private fun storeEra() = cache.snapshot.let { eraOfPosition(maxOf(it.operatorPosition, it.targetsPosition)) }
+
     private fun targetsAgeMillis() = (System.nanoTime() - cache.snapshot.targetsReadAtNanos) / NANOS_PER_MILLI
 
     private fun dump(): JsonObject {
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/StoreReturn.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StoreReturn.kt
@@ -6,6 +6,7 @@
  */
 package io.jaybeam.entry.direct
 
+import io.jaybeam.core.fleet.FleetTarget
 import io.jaybeam.core.fleet.OperatorUpdate
 import io.jaybeam.core.fleet.RetainedTargets
 import io.jaybeam.core.fleet.TargetTable
@@ -29,9 +30,9 @@
 
     private val byId = LinkedHashMap<String, Withdrawal>()
 
-    /** Records the difference between the lists [previous] and [current] of the store. */
-    fun onChange(previous: TargetTable, current: TargetTable) {
-        previous.byId.values.filter { it.id !in current.byId }.forEach {
+    /** Records that [targets] were withdrawn. */
+    fun add(targets: List<FleetTarget>) {
+        targets.forEach {
             byId.remove(it.id)
             byId[it.id] = Withdrawal(it.startedAtEpochMillis, nowMillis())
         }
@@ -59,9 +60,6 @@
     var stored = TargetTable()
         private set
 
-    /** Whether [inForce] is more than the store lists, or less. */
-    val isRetaining: Boolean get() = retention != null
-
     /** Whether the time for which [inForce] differs from what the store lists has passed. */
     val isRetentionOver: Boolean get() = retention?.let { nowMillis() >= it.endMillis } == true
 
@@ -80,8 +78,9 @@
 
     /** Takes over the list [targets] of the store, which [updates] have changed if they are known one by one. */
     fun onRead(targets: TargetTable, updates: List<TargetUpdate> = emptyList()) {
+        val withdrawnIds = updates.filterIsInstance<TargetUpdate.Withdrawn>().map { it.id }.toSet()
         // After a return, what the copy lacks has not been withdrawn.
-        if (retention == null) withdrawals.onChange(stored, targets)
+        withdrawals.add(inForce.byId.values.filter { it.id in withdrawnIds || (retention == null && it.id !in targets.byId) })
         retention = retention?.let { Retention(it.targets.withUpdates(updates), it.endMillis) }
         stored = targets
         endRetentionInTime()
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
@@ -164,6 +164,17 @@
         assertEquals(emptySet(), cache.snapshot.dataCentresOut)
     }
 
+    @Test
+    fun `a target that was withdrawn after a return does not come back by the copy of the next one`() {
+        cache.onTargetsPage(UNREAD, announced(logPosition(era = 0, offset = 12), "a", "b"))
+        cache.onTargetsPage(UNREAD, announced(logPosition(era = 1, offset = 3), "a"))
+        assertEquals(setOf("a", "b"), cache.snapshot.targets.byId.keys)
+        val withdrawal = LogPage(listOf(TargetUpdate.Withdrawn("b")), logPosition(era = 1, offset = 4), emptyList())
+        cache.onTargetsPage(logPosition(era = 1, offset = 3), withdrawal)
+        cache.onTargetsPage(UNREAD, announced(logPosition(era = 2, offset = 1), "a", "b"))
+        assertEquals(setOf("a"), cache.snapshot.targets.byId.keys)
+    }
+
     private fun newCache() = FleetCache(EventLog("test", Clock.System)) { nowNanos }
 
     private fun config(version: Long) = FleetConfig(version, emptyList(), emptyList(), emptyList(), CallerLimits(1, 1, 1, 1))
