Store returns: what was known is dropped only by a read after the time for it

A target that had written again 1.5 to 2 s after a return could be out of use for up to 0.6 s: the time for which it was kept ended before the next read of the list. The new test of FleetCacheTest states the rule without a clock.

FleetCacheTest's check that a data centre is back after 2 s is now in the new test, which asks that it is kept until a read and dropped by it.

--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/FleetCache.kt
@@ -221,15 +221,13 @@
     }
 
     /**
-     * Brings into force what the store lists, after the time for which this entry kept what it had known before the store came back from an
-     * older copy.
+     * Brings into force what the store lists, if it was read after the time for which this entry keeps what it knew before the store came
+     * back from an older copy.
      */
     fun endRetention() {
         synchronized(this) {
-            if (storedDataCentres.inForceOut != snapshot.dataCentresOut) bringDataCentresIntoForce()
-            if (!storedTargets.isRetentionOver) return
-            storedTargets.endRetentionInTime()
-            bringTargetsIntoForce(snapshot.targetsPosition)
+            if (storedDataCentres.endRetention(snapshot.routesReadAtNanos / NANOS_PER_MILLI)) bringDataCentresIntoForce()
+            if (storedTargets.endRetention(snapshot.targetsReadAtNanos / NANOS_PER_MILLI)) bringTargetsIntoForce(snapshot.targetsPosition)
         }
     }
 
--- a/entry/src/main/kotlin/io/jaybeam/entry/direct/StoreReturn.kt
+++ b/entry/src/main/kotlin/io/jaybeam/entry/direct/StoreReturn.kt
@@ -2,7 +2,7 @@
  * What an entry keeps in force for a time after the store came back from an older copy.
  *
  * Targets and the operator write what the copy lacks again within about two seconds. Until then, the list of targets that the store gives
- * is completed by what was known, and a data centre that was out stays out. What is missing after that time is gone.
+ * is completed by what was known, and a data centre that was out stays out. What a read after that time does not find is gone.
  */
 package io.jaybeam.entry.direct
 
@@ -60,9 +60,6 @@
     var stored = TargetTable()
         private set
 
-    /** Whether the time for which [inForce] differs from what the store lists has passed. */
-    val isRetentionOver: Boolean get() = retention?.let { nowMillis() >= it.endMillis } == true
-
     /** The targets in force. */
     val inForce: TargetTable get() = retention?.targets?.inForce(stored) ?: stored
 
@@ -71,9 +68,11 @@
         retention = Retention(RetainedTargets(inForce, withdrawals.starts()), nowMillis() + RETENTION_MILLIS)
     }
 
-    /** Ends the retention if its time is over. */
-    fun endRetentionInTime() {
-        if (isRetentionOver) retention = null
+    /** Ends the retention if [stored] was read after its time, at [readAtMillis]; returns whether [inForce] may have changed. */
+    fun endRetention(readAtMillis: Long): Boolean {
+        val isOver = retention?.let { readAtMillis >= it.endMillis } == true
+        if (isOver) retention = null
+        return isOver
     }
 
     /** Takes over the list [targets] of the store, which [updates] have changed if they are known one by one. */
@@ -83,7 +82,7 @@
         withdrawals.add(inForce.byId.values.filter { it.id in withdrawnIds || (retention == null && it.id !in targets.byId) })
         retention = retention?.let { Retention(it.targets.withUpdates(updates), it.endMillis) }
         stored = targets
-        endRetentionInTime()
+        endRetention(nowMillis())
     }
 }
 
@@ -92,14 +91,14 @@
     private val nowMillis: () -> Long,
 ) {
     private var retained = emptySet<String>()
-    private var retentionEndMillis = 0L
+    private var retentionEndMillis = Long.MAX_VALUE
 
     /** The data centres that are out of service according to the store. */
     var storedOut = emptySet<String>()
         private set
 
     /** The data centres that get no new work. */
-    val inForceOut: Set<String> get() = if (nowMillis() < retentionEndMillis) storedOut + retained else storedOut
+    val inForceOut: Set<String> get() = storedOut + retained
 
     /** Begins to keep the data centres out that are, as the store has come back from an older copy. */
     fun onReturn() {
@@ -107,8 +106,16 @@
         retentionEndMillis = nowMillis() + RETENTION_MILLIS
     }
 
+    /** Ends the retention if [storedOut] was read after its time, at [readAtMillis]; returns whether [inForceOut] may have changed. */
+    fun endRetention(readAtMillis: Long): Boolean {
+        val isOver = retained.isNotEmpty() && readAtMillis >= retentionEndMillis
+        if (isOver) retained = emptySet()
+        return isOver
+    }
+
     /** Takes over the list [out] of the store, which [updates] have changed if they are known one by one. */
     fun onRead(out: Set<String>, updates: List<OperatorUpdate> = emptyList()) {
+        endRetention(nowMillis())
         storedOut = out
         retained =
             retained -
--- a/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
+++ b/entry/src/test/kotlin/io/jaybeam/entry/direct/FleetCacheTest.kt
@@ -159,9 +159,25 @@
         nowNanos += 200 * NANOS_PER_MILLI
         cache.endRetention()
         assertEquals(setOf("north"), cache.snapshot.dataCentresOut)
-        nowNanos += 2_000 * NANOS_PER_MILLI
+    }
+
+    // Guards against dropping what was written again in time and has not been read.
+    @Test
+    fun `what was known before a return is dropped only by a read after the time for it`() {
+        val isOut = OperatorUpdate.DataCentreChanged("north", isOutOfService = true)
+        cache.onOperatorPage(UNREAD, LogPage(listOf(isOut), logPosition(era = 0, offset = 5), emptyList()))
+        cache.onTargetsPage(UNREAD, announced(logPosition(era = 0, offset = 12), "a", "b"))
+        val operatorPosition = logPosition(era = 1, offset = 3)
+        val targetsPosition = logPosition(era = 1, offset = 7)
+        cache.onOperatorPage(UNREAD, LogPage(emptyList(), operatorPosition, emptyList()))
+        cache.onTargetsPage(UNREAD, announced(targetsPosition, "a"))
+        nowNanos += 2_100 * NANOS_PER_MILLI
         cache.endRetention()
-        assertEquals(emptySet(), cache.snapshot.dataCentresOut)
+        assertEquals(setOf("north") to setOf("a", "b"), cache.snapshot.run { dataCentresOut to targets.byId.keys })
+        cache.onOperatorPage(operatorPosition, LogPage(emptyList(), operatorPosition, emptyList()))
+        cache.onTargetsPage(targetsPosition, LogPage(emptyList(), targetsPosition, emptyList()))
+        cache.endRetention()
+        assertEquals(emptySet<String>() to setOf("a"), cache.snapshot.run { dataCentresOut to targets.byId.keys })
     }
 
     @Test
