--- a/review/kit-3/CaseReturn.java
+++ b/review/kit-3/CaseReturn.java
@@ -11,6 +11,8 @@
     static final int DRAIN_MILLIS = 2_000;
     static final int TOUCH_MILLIS = 3_000;
 
+    /** When each request reached a replica, which then runs it. */
+    static final Map<String, Long> arrivedAt = new ConcurrentHashMap<>();
     static final Map<String, String> outcomeById = new ConcurrentHashMap<>();
 
     public static void main(String[] args) throws Exception {
@@ -19,7 +21,6 @@
 
     static boolean run() throws Exception {
         Site site = new Site();
-        Map<String, Long> arrivedAt = new ConcurrentHashMap<>();
         List<Replica> replicas = new ArrayList<>();
         AtomicLong leftAt = new AtomicLong(Long.MAX_VALUE / 2);
         AtomicBoolean hasLateRequest = new AtomicBoolean();
@@ -38,7 +39,6 @@
                         Kit.log("replica " + replica.id + " exits, as one that has left does some time after " + DRAIN_MILLIS + " ms");
                     });
                 }
-                replica.onRun(head);
                 slots.acquire();
                 try {
                     Kit.sleep(43);
@@ -107,7 +107,7 @@
                 } catch (IOException e) {
                     outcome = "" + e;
                 }
-                Kit.log("request " + id + ": " + outcome);
+                Kit.log("request " + id + ": " + outcome + "; run by a replica: " + arrivedAt.containsKey(id));
                 outcomeById.put(id, outcome);
                 synchronized (outcomes) { outcomes.merge(outcome, 1, Integer::sum); }
                 done.countDown();
--- a/review/kit-3/Replica.java
+++ b/review/kit-3/Replica.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.*;
 import java.util.concurrent.*;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** Stand-in of a replica of a plain service: registers itself in the store and serves requests with [handler]. */
 final class Replica {
@@ -20,8 +19,6 @@
     final long born = System.currentTimeMillis();
     final int slots;
     final Handler handler;
-    /** How often each request began to run here. */
-    final ConcurrentHashMap<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final ServerSocket server;
     private final Store store;
     private volatile boolean isAnnounced = true;
@@ -108,11 +105,6 @@
         }
     }
 
-    /** Counts that the request of [head] begins to run; returns how often it has now. */
-    int onRun(Kit.Head head) {
-        return runs.computeIfAbsent(head.get("Request-Id"), i -> new AtomicInteger()).incrementAndGet();
-    }
-
     static byte[] readBody(Kit.Head head, InputStream in) throws IOException {
         if ("chunked".equalsIgnoreCase(head.get("Transfer-Encoding"))) return Kit.readChunks(in);
         String length = head.get("Content-Length");
